--- /dev/null
+++ b/src/main/java/ledgewall/Brain.java
@@ -0,0 +1,736 @@
+package ledgewall;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.Predicate;
+import java.util.stream.Collectors;
+
+/**
+ * All decisions of a router. The interface, its events and its actions stand in RoutingPolicy.java.
+ *
+ * <p>The ordinary path is the design's: members are probed every five seconds for role, position and averaged
+ * ping; a read goes to a random eligible replica among the near-fastest, on failure to the next and then to
+ * the primary; a write goes to the member last seen as primary. All else is an exception to that path and
+ * says what it guards against.
+ */
+public final class Brain implements RoutingPolicy {
+    private static final long MS = 1_000_000L;
+    private static final long SECOND = 1_000 * MS;
+
+    /** The post's period and number of pings. */
+    private static final long PROBE_PERIOD = 5 * SECOND;
+    private static final int PINGS = 3;
+    /** Ping differences below this part of a read's usual time are not felt by its client. */
+    private static final double PING_MARGIN = 0.125;
+    /** A member whose expected delay is over this multiple of the best one's is crowded, not just unlucky. */
+    private static final double CROWDED = 2.0;
+    /** Urgent probes start when this part of the tightest bound has passed since the position was seen. */
+    private static final double URGENT_AT = 0.33;
+    /** Gap between urgent probes of one member: some a second, few against its reads. */
+    private static final long URGENT_GAP = 250 * MS;
+    /** Where members refuse stale reads, a lag seen below this part of the bound is taken to hold on. */
+    private static final double CARRIED_LAG = 0.33;
+    /** Silence worth this many expected answers is a fault, not chance (e^-6 is one in four hundred). */
+    private static final double SILENCE = 6;
+    /** No silence shorter than this counts: network jitter and ticks. */
+    private static final long LEAST_SILENCE = 100 * MS;
+    /** A member under suspicion is offered one read in this time. */
+    private static final long TRIAL_GAP = 500 * MS;
+    /** A member that rejected work unseen is left alone for about the time its queue needs to move. */
+    private static final long REJECTED_REST = 50 * MS;
+    /** Weight of a sample in running means: of a member (fast, to show trouble), of a class (steady). */
+    private static final double MEMBER_WEIGHT = 0.1;
+    private static final double CLASS_WEIGHT = 0.02;
+    /** Without samples, what is known of a member's slowness fades over this time. */
+    private static final double FADE = 3 * SECOND;
+    /** Part of the time left that a fresh router may hold a request while its first probes are out. */
+    private static final double FRESH_HOLD = 0.1;
+    /** A listed role is taken for evidence this old: about as late as lists are. */
+    private static final long LIST_AGE = 5 * SECOND;
+    /** Held requests of a group: about what a new primary can catch up on. */
+    private static final int MOST_HELD = 200;
+    /** Part of a cold member's budget that is spent; the rest is for chance in the work of requests. */
+    private static final double BUDGET_PART = 0.7;
+    /** Sends in a window that a cold member gets even when nothing is known of its size. */
+    private static final double LEAST_BUDGET = 2;
+    /** Waits before asking for the list again after failures; the longest keeps well within the rule. */
+    private static final long ASK_AGAIN = SECOND;
+    private static final long ASK_LONGEST = 6 * SECOND;
+    private static final long HEARTBEAT = 1;
+
+    /** What is known of one member: what the list says, newest evidence, health, own attempts. */
+    private static final class Member {
+        final String id;
+        final Group group;
+        int zone, kind;
+        Phase phase;
+        long born, coldSince;
+        Role role = Role.UNKNOWN;
+        long roleAt = Long.MIN_VALUE, position = Long.MIN_VALUE, positionAt = Long.MIN_VALUE;
+        boolean probing, down;
+        double ping;
+        int pingsLeft;
+        long probedAt = Long.MIN_VALUE, roundAt = Long.MIN_VALUE;
+        long suspectSince = NONE, trialAt = Long.MIN_VALUE, restUntil = Long.MIN_VALUE;
+        long answeredAt = Long.MIN_VALUE, sampledAt;
+        double slowness = 1, servedRate;
+        final List<Attempt> open = new ArrayList<>();
+        final ArrayDeque<Spent> spent = new ArrayDeque<>();
+
+        Member(String id, Group group) {
+            this.id = id;
+            this.group = group;
+        }
+
+        long lagSeen() {
+            return positionAt == Long.MIN_VALUE ? Long.MAX_VALUE : positionAt - position;
+        }
+    }
+
+    private record Spent(long at, double work) { }
+
+    private static final class Group {
+        final List<Member> members = new ArrayList<>();
+        final List<Request> held = new ArrayList<>();
+        Member primary;
+        long primaryAt = Long.MIN_VALUE;
+    }
+
+    /** A request until its last attempt is accounted for. */
+    private static final class Request {
+        final Arrival arrival;
+        final RequestClass kind;
+        final Group group;
+        final long at, end, lastSend;
+        final List<Member> tried = new ArrayList<>();
+        final List<Attempt> attempts = new ArrayList<>();
+        long needed = Long.MIN_VALUE;
+        Attempt out, mayHaveRun;
+        int unanswered;
+        boolean begun, over, recalled;
+
+        Request(Arrival arrival, RequestClass kind, Group group, long at, long end, long lastSend) {
+            this.arrival = arrival;
+            this.kind = kind;
+            this.group = group;
+            this.at = at;
+            this.end = end;
+            this.lastSend = lastSend;
+        }
+    }
+
+    private record Attempt(Request request, int number, Member member, long sentAt) { }
+
+    private final Settings settings;
+    private final SplittableRandom random;
+    private final long beat;
+    private final long tightestBound;
+    private final double[] classMean;
+    private final Map<String, Member> members = new LinkedHashMap<>();
+    private final Map<Long, Group> groups = new LinkedHashMap<>();
+    private final Map<Long, Request> requests = new LinkedHashMap<>();
+    private final Map<Integer, Double> peakRate = new HashMap<>();
+    private final Map<Long, Long> sessionWrites = new HashMap<>();
+    private List<Request> pending = new ArrayList<>();
+    private List<Action> actions = new ArrayList<>();
+    private long now;
+    private long startedAt = Long.MIN_VALUE;
+    private long nextBeat = Long.MIN_VALUE;
+    private long askAt = Long.MAX_VALUE;
+    private long askWait = ASK_AGAIN;
+
+    public Brain(Settings settings, long seed) {
+        this.settings = settings;
+        this.random = new SplittableRandom(seed);
+        this.beat = Math.max(2 * settings.tick(), 10 * MS);
+        this.tightestBound = settings.classes().stream().filter(c -> c.need() == Need.BOUNDED)
+            .mapToLong(RequestClass::stalenessBound).min().orElse(Long.MAX_VALUE);
+        this.classMean = settings.classes().stream().mapToDouble(c -> c.aim() / 4.0).toArray();
+    }
+
+    @Override
+    public List<Action> decide(long time, List<Event> events) {
+        now = time;
+        actions = new ArrayList<>();
+        if (startedAt == Long.MIN_VALUE) {
+            startedAt = now;
+            nextBeat = now;
+            if (settings.askForList()) {
+                actions.add(new Subscribe());
+            }
+        }
+        for (Event event : events) {
+            learn(event);
+        }
+        if (now >= nextBeat) {
+            beat();
+            nextBeat = now + beat;
+            actions.add(new SetTimer(nextBeat, HEARTBEAT));
+        }
+        List<Request> ready = pending;
+        pending = new ArrayList<>();
+        ready.forEach(this::route);
+        return actions;
+    }
+
+    // ---- Learning
+
+    private void learn(Event event) {
+        if (event instanceof MemberList list) {
+            learnList(list);
+        } else if (event instanceof Arrival arrival) {
+            accept(arrival);
+        } else if (event instanceof Outcome outcome) {
+            learnOutcome(outcome);
+        } else if (event instanceof ProbeResult echo) {
+            learnProbe(echo);
+        } else if (event instanceof AnswerBegun begun) {
+            Request request = requests.get(begun.request());
+            if (request != null) {
+                request.begun = true;
+            }
+        } else if (event instanceof Lapsed lapsed) {
+            Request request = requests.get(lapsed.request());
+            if (request != null && !request.over) {
+                close(request);
+            }
+        }
+    }
+
+    private void accept(Arrival arrival) {
+        if (arrival.requestClass() < 0 || arrival.requestClass() >= settings.classes().size()) {
+            actions.add(new Refuse(arrival.request(), 0)); // of no class that the settings name: nothing ran
+            return;
+        }
+        Group group = groups.computeIfAbsent(arrival.group(), id -> new Group());
+        RequestClass kind = settings.classes().get(arrival.requestClass());
+        long end = Math.max(now, now + arrival.timeLeft() - 2 * beat);
+        // Past its aim some work is worth nothing: no attempt starts then, but one that runs may still
+        // answer, for an end here would only make the client ask for the same work again.
+        long lastSend = kind.lateWorth() > 0 ? end : Math.min(end, now + kind.aim() - beat);
+        Request request = new Request(arrival, kind, group, now, end, lastSend);
+        if (kind.need() == Need.FRESH) {
+            request.needed = now;
+        } else if (kind.need() == Need.SESSION && settings.data().tokensCarried()) {
+            request.needed = arrival.sinceWrite() == NONE ? Long.MIN_VALUE : now - arrival.sinceWrite();
+        } else if (kind.need() == Need.SESSION) {
+            request.needed = sessionWrites.getOrDefault(arrival.session(), Long.MIN_VALUE);
+        }
+        requests.put(arrival.request(), request);
+        pending.add(request);
+    }
+
+    /** Follows the list: a drain binds at once, and so does absence unless only a drain is to bind. */
+    private void learnList(MemberList list) {
+        if (list.kind() == ListKind.FAILED) {
+            askAt = now + askWait + random.nextLong(askWait);
+            askWait = Math.min(2 * askWait, ASK_LONGEST);
+            return;
+        }
+        askWait = ASK_AGAIN;
+        askAt = Long.MAX_VALUE;
+        boolean lenient = settings.rules().drainBindsAlone();
+        if (list.kind() != ListKind.CHANGES) {
+            Set<String> listed = list.listings().stream().map(Listing::member).collect(Collectors.toSet());
+            members.values().stream().filter(m -> !listed.contains(m.id) && !lenient)
+                .forEach(m -> m.phase = Phase.GONE);
+        }
+        for (Listing line : list.listings()) {
+            Member member = members.computeIfAbsent(line.member(), id -> join(line));
+            member.zone = line.zone();
+            member.kind = line.kind();
+            if (line.born() > member.born) {
+                member.born = line.born();
+                member.coldSince = Math.max(member.coldSince, line.born());
+                member.down = false;
+                member.suspectSince = NONE;
+            }
+            if (line.phase() != Phase.GONE || !lenient) {
+                member.phase = line.phase();
+            }
+            if (line.primary() && settings.data().listedRole() != ListedRole.NEVER) {
+                boolean late = settings.data().listedRole() == ListedRole.LATE;
+                learnRole(member, Role.PRIMARY, late ? now - LIST_AGE : Long.MIN_VALUE + 1);
+            }
+        }
+    }
+
+    private Member join(Listing line) {
+        Member member = new Member(line.member(), groups.computeIfAbsent(line.group(), id -> new Group()));
+        member.sampledAt = now;
+        member.group.members.add(member);
+        return member;
+    }
+
+    /** Newest evidence wins: reports and lists speak of the past, answers of the present. */
+    private void learnRole(Member member, Role role, long at) {
+        if (role == Role.UNKNOWN || at < member.roleAt) {
+            return;
+        }
+        member.role = role;
+        member.roleAt = at;
+        Group group = member.group;
+        if (role == Role.PRIMARY && at >= group.primaryAt) {
+            group.primary = member;
+            group.primaryAt = at;
+        } else if (role == Role.REPLICA && group.primary == member && at > group.primaryAt) {
+            group.primary = null;
+            group.primaryAt = at;
+        }
+    }
+
+    private void learnPosition(Member member, long position) {
+        if (position != NONE) {
+            member.position = Math.max(member.position, position);
+            member.positionAt = now;
+        }
+    }
+
+    private void learnProbe(ProbeResult echo) {
+        Member member = members.get(echo.member());
+        if (member == null) {
+            return;
+        }
+        member.probing = false;
+        if (echo.result() != Result.OK) {
+            member.down |= echo.result() != Result.REJECTED;
+            return;
+        }
+        if (member.down) {
+            member.down = false;
+            member.coldSince = Math.max(member.coldSince, now); // it was gone, so it has started again
+        }
+        member.ping += (echo.elapsed() - member.ping) / (member.ping == 0 ? 1 : PINGS);
+        if (--member.pingsLeft > 0) {
+            probe(member);
+        }
+        Report report = echo.report();
+        if (report != null) {
+            learnPosition(member, report.position());
+            long asOf = report.position() == NONE ? now - echo.elapsed() : report.position();
+            learnRole(member, report.role(), asOf);
+        }
+    }
+
+    private void learnOutcome(Outcome outcome) {
+        Request request = requests.get(outcome.request());
+        Attempt attempt = request == null || outcome.attempt() >= request.attempts.size() ? null
+            : request.attempts.set(outcome.attempt(), null);
+        if (attempt == null) {
+            return;
+        }
+        request.unanswered--;
+        Member member = attempt.member();
+        member.open.remove(attempt);
+        request.out = null;
+        learnHealth(member, attempt, outcome);
+        if (outcome.role() != Role.UNKNOWN) {
+            learnRole(member, outcome.role(), now);
+            learnPosition(member, outcome.position());
+        }
+        boolean written = outcome.result() == Result.OK && request.kind.need() == Need.WRITE;
+        if (written && outcome.position() != NONE) {
+            sessionWrites.merge(request.arrival.session(), outcome.position(), Math::max);
+        }
+        if (request.over || outcome.complete()) {
+            close(request);
+        } else {
+            follow(request, attempt, outcome);
+        }
+    }
+
+    /** Health from answers: how long a member takes against what its class takes everywhere. */
+    private void learnHealth(Member member, Attempt attempt, Outcome outcome) {
+        int index = attempt.request().arrival.requestClass();
+        double took = outcome.elapsed() / classMean[index];
+        switch (outcome.result()) {
+            case OK -> {
+                answered(member);
+                classMean[index] += CLASS_WEIGHT * (outcome.elapsed() - classMean[index]);
+                sample(member, took);
+                member.servedRate += 1;
+            }
+            case MISSED, ERROR, REJECTED -> {
+                answered(member);
+                member.restUntil = outcome.result() == Result.REJECTED ? now + REJECTED_REST : now;
+            }
+            case TIMED_OUT, CANCELLED -> {
+                if (took > slowness(member)) {
+                    sample(member, took);
+                }
+            }
+            case NOT_CONNECTED, RESET -> {
+                member.down = true;
+                urgent(member);
+            }
+            case NEVER_SENT -> { }
+        }
+    }
+
+    private void answered(Member member) {
+        member.answeredAt = now;
+        member.suspectSince = NONE;
+    }
+
+    private void sample(Member member, double took) {
+        member.slowness = slowness(member) + MEMBER_WEIGHT * (took - slowness(member));
+        member.sampledAt = now;
+    }
+
+    private double slowness(Member member) {
+        return 1 + (member.slowness - 1) * Math.exp((member.sampledAt - now) / FADE);
+    }
+
+    // ---- Routing: the one place that picks a member
+
+    private void route(Request request) {
+        if (request.over || request.out != null) {
+            return;
+        }
+        Member member = request.kind.need() == Need.WRITE ? pickForWrite(request) : pickForRead(request);
+        if (member != null && send(request, member)) {
+            return;
+        }
+        if (worthHolding(request)) {
+            hold(request);
+        } else {
+            end(request);
+        }
+    }
+
+    private List<Member> candidates(Request request, Predicate<Member> test) {
+        List<Member> found = new ArrayList<>(request.group.members);
+        found.removeIf(m -> request.tried.contains(m) || !test.test(m) || !permitted(request, m));
+        return found;
+    }
+
+    private Member pickForWrite(Request request) {
+        Member primary = request.group.primary;
+        if (primary != null) {
+            return healthy(primary) && permitted(request, primary) ? primary : null;
+        }
+        boolean probesTell = settings.data().probesTellRole() && settings.limits().probes();
+        if (probesTell || request.attempts.size() >= settings.limits().maxAttempts() - 1) {
+            return null;
+        }
+        // Only an answer can tell who is primary: a held write asks, a wrong member leaves it untouched.
+        return candidates(request, this::healthy).stream().findFirst().orElse(null);
+    }
+
+    private Member pickForRead(Request request) {
+        Group group = request.group;
+        if (now - startedAt < FRESH_HOLD * (request.lastSend - request.at)
+                && group.members.stream().allMatch(m -> m.ping == 0)) {
+            return null; // a fresh router waits for its first probes
+        }
+        List<Member> replicas = candidates(request,
+            m -> m != group.primary && healthy(m) && eligible(request, m));
+        if (!replicas.isEmpty()) {
+            return drawNearFastest(request, replicas);
+        }
+        List<Member> primary = candidates(request, m -> m == group.primary && healthy(m));
+        if (!primary.isEmpty()) {
+            return primary.get(0);
+        }
+        // Nobody looks well: doubt the judgement rather than the members.
+        return candidates(request, m -> eligible(request, m) && now >= m.trialAt + TRIAL_GAP).stream()
+            .findFirst().orElse(null);
+    }
+
+    /** The design's draw, without members that are clearly more crowded than the best. */
+    private Member drawNearFastest(Request request, List<Member> replicas) {
+        double margin = PING_MARGIN * classMean[request.arrival.requestClass()];
+        double fastest = replicas.stream().mapToDouble(m -> m.ping).min().orElse(0);
+        replicas.removeIf(m -> m.ping > fastest + margin);
+        double least = replicas.stream().mapToDouble(this::delay).min().orElse(0);
+        replicas.removeIf(m -> delay(m) > CROWDED * least);
+        return replicas.get(random.nextInt(replicas.size()));
+    }
+
+    /** Relative delay to be expected of a member: its slowness times the own attempts before a new one. */
+    private double delay(Member member) {
+        return slowness(member) * (member.open.size() + 1);
+    }
+
+    private boolean healthy(Member member) {
+        if (member.down || now < member.restUntil) {
+            return false;
+        }
+        if (member.suspectSince == NONE) {
+            return true;
+        }
+        return member.open.isEmpty() && now >= member.trialAt + TRIAL_GAP && member.role != Role.PRIMARY;
+    }
+
+    /** Whether the member's data is new enough, as far as this router can know. */
+    private boolean eligible(Request request, Member member) {
+        boolean refuses = settings.data().behind() != Behind.ANSWERS;
+        return switch (request.kind.need()) {
+            case ANY -> true;
+            case WRITE -> member == request.group.primary;
+            case FRESH, SESSION -> member.position >= request.needed || member == request.group.primary;
+            case BOUNDED -> {
+                long bound = request.kind.stalenessBound();
+                yield member == request.group.primary || member.position >= now - bound
+                    || refuses && member.lagSeen() < CARRIED_LAG * bound
+                    && now - member.positionAt < PROBE_PERIOD;
+            }
+        };
+    }
+
+    // ---- The gate: every send passes here
+
+    private boolean permitted(Request request, Member member) {
+        if (request.over || request.out != null || request.begun || now >= request.lastSend
+                || request.attempts.size() >= settings.limits().maxAttempts()
+                || member.group != request.group || member.phase != Phase.SERVING) {
+            return false;
+        }
+        if (request.mayHaveRun != null && !repeatable(request, member)) {
+            return false;
+        }
+        if (settings.data().behind() == Behind.ANSWERS && request.kind.need() != Need.WRITE
+                && !eligible(request, member)) {
+            return false;
+        }
+        return withinBudget(member, work(request));
+    }
+
+    private boolean repeatable(Request request, Member member) {
+        Attempt first = request.mayHaveRun;
+        return switch (request.kind.effect()) {
+            case IDEMPOTENT -> true;
+            case AT_MOST_ONCE -> false;
+            case DEDUPLICATED -> now < first.sentAt() + request.kind.repeatWindow() - beat
+                && (request.kind.repeatScope() != RepeatScope.ZONE || member.zone == first.member().zone);
+        };
+    }
+
+    private double work(Request request) {
+        double mean = Arrays.stream(classMean).average().orElse(1);
+        return classMean[request.arrival.requestClass()] / mean;
+    }
+
+    /**
+     * Cold members: this router's part of what one may take in any window, from the best rate that it has
+     * seen a warm member of that kind serve. That is never above the true one, nor is the routers' sum.
+     */
+    private boolean withinBudget(Member member, double work) {
+        Rules rules = settings.rules();
+        if (!cold(member)) {
+            return true;
+        }
+        long age = Math.max(0, now - member.coldSince);
+        while (!member.spent.isEmpty() && member.spent.peekFirst().at() <= now - rules.overloadWindow()) {
+            member.spent.removeFirst();
+        }
+        double present = rules.coldShare() + (1 - rules.coldShare()) * age / rules.warmAfter();
+        double window = rules.overloadWindow() / (double) SECOND;
+        double budget = BUDGET_PART * rules.overloadFactor() * present * window
+            * peakRate.getOrDefault(member.kind, 0.0) / settings.routers();
+        double used = member.spent.stream().mapToDouble(Spent::work).sum();
+        return used + work <= Math.max(budget, LEAST_BUDGET);
+    }
+
+    private boolean cold(Member member) {
+        return member.coldSince != 0 && now - member.coldSince < settings.rules().warmAfter();
+    }
+
+    private boolean send(Request request, Member member) {
+        if (!permitted(request, member)) {
+            return false;
+        }
+        Attempt attempt = new Attempt(request, request.attempts.size(), member, now);
+        request.attempts.add(attempt);
+        request.tried.add(member);
+        request.out = attempt;
+        request.recalled = false;
+        request.unanswered++;
+        member.open.add(attempt);
+        member.spent.add(new Spent(now, work(request)));
+        if (member.spent.size() > 1000) {
+            member.spent.removeFirst();
+        }
+        if (member.suspectSince != NONE || member.down) {
+            member.trialAt = now;
+        }
+        actions.add(new Send(request.arrival.request(), member.id, request.end - now));
+        return true;
+    }
+
+    // ---- What follows an outcome
+
+    private void follow(Request request, Attempt attempt, Outcome outcome) {
+        switch (outcome.result()) {
+            case NOT_CONNECTED, REJECTED -> pending.add(request);
+            case MISSED -> {
+                if (request.kind.need() == Need.WRITE) {
+                    learnRole(attempt.member(), Role.REPLICA, now);
+                    request.group.members.forEach(this::urgent);
+                    request.tried.remove(attempt.member());
+                } else {
+                    attempt.member().positionAt = Long.MIN_VALUE; // lags more than was thought
+                    urgent(attempt.member());
+                }
+                pending.add(request);
+            }
+            case NEVER_SENT -> end(request);
+            case ERROR, TIMED_OUT, RESET, CANCELLED -> {
+                request.mayHaveRun = request.mayHaveRun == null ? attempt : request.mayHaveRun;
+                if (request.kind.effect() == Effect.AT_MOST_ONCE) {
+                    end(request);
+                } else {
+                    pending.add(request);
+                }
+            }
+            case OK -> end(request);
+        }
+    }
+
+    // ---- Holding and ending
+
+    private boolean worthHolding(Request request) {
+        return now < request.lastSend && request.mayHaveRun == null && request.group.held.size() < MOST_HELD
+            && request.attempts.size() < settings.limits().maxAttempts();
+    }
+
+    private void hold(Request request) {
+        request.group.held.add(request);
+    }
+
+    /** The one place that ends a request: refuses where nothing can have run, else fails. */
+    private void end(Request request) {
+        if (request.over) {
+            return;
+        }
+        boolean harmless = request.kind.effect() == Effect.IDEMPOTENT
+            || request.mayHaveRun == null && request.out == null
+            || request.kind.effect() == Effect.DEDUPLICATED && request.kind.repeatScope() == RepeatScope.ALL;
+        long id = request.arrival.request();
+        actions.add(harmless ? new Refuse(id, 0) : new Fail(id));
+        recall(request);
+        close(request);
+    }
+
+    private void recall(Request request) {
+        if (settings.limits().cancel() && request.out != null && !request.recalled && !request.begun) {
+            request.recalled = true;
+            actions.add(new Cancel(request.arrival.request(), request.out.number()));
+        }
+    }
+
+    private void close(Request request) {
+        request.over = true;
+        if (request.unanswered == 0) {
+            requests.remove(request.arrival.request());
+        }
+    }
+
+    // ---- Periodic work
+
+    private void beat() {
+        if (now >= askAt) {
+            askAt = Long.MAX_VALUE;
+            actions.add(new Subscribe());
+        }
+        for (Request request : List.copyOf(requests.values())) {
+            long due = request.out == null ? request.lastSend : request.end;
+            if (!request.over && !request.begun && now >= due) {
+                end(request);
+            }
+        }
+        for (Member member : members.values()) {
+            if (member.phase == Phase.SERVING) {
+                watchSilence(member);
+                probeWhenDue(member);
+            }
+            if (!cold(member)) { // the sum decays over one second, so it reads as a rate
+                peakRate.merge(member.kind, member.servedRate, Math::max);
+            }
+            member.servedRate *= Math.exp(-beat / (double) SECOND);
+        }
+        for (Group group : groups.values()) {
+            if (!group.held.isEmpty()) {
+                List<Request> held = new ArrayList<>(group.held);
+                group.held.clear();
+                held.removeIf(r -> r.over);
+                held.sort(Comparator.comparingLong(r -> r.at));
+                pending.addAll(held);
+            }
+        }
+    }
+
+    /**
+     * Guards against members that take work and answer nothing, whatever the cause: attempts that may be
+     * repeated are taken back and go elsewhere. Harm: a long pause of a sound member costs the work it held.
+     */
+    private void watchSilence(Member member) {
+        double missing = 0;
+        long longest = 0;
+        for (Attempt attempt : member.open) {
+            long silent = now - Math.max(attempt.sentAt(), member.answeredAt);
+            longest = Math.max(longest, silent);
+            missing += silent / (classMean[attempt.request().arrival.requestClass()] * slowness(member));
+        }
+        if (missing < SILENCE || longest < LEAST_SILENCE) {
+            return;
+        }
+        if (member.suspectSince == NONE) {
+            member.suspectSince = now;
+            member.trialAt = now;
+            urgent(member);
+        }
+        long silentOnes = member.group.members.stream().filter(m -> m.suspectSince != NONE).count();
+        if (2 * silentOnes > member.group.members.size()) {
+            return;
+        }
+        for (Attempt attempt : member.open) {
+            if (attempt.request().kind.effect() == Effect.IDEMPOTENT && !attempt.request().over) {
+                recall(attempt.request());
+            }
+        }
+    }
+
+    private void probeWhenDue(Member member) {
+        if (!settings.limits().probes() || member.probing) {
+            return;
+        }
+        if (member.roundAt == Long.MIN_VALUE || now - member.roundAt >= PROBE_PERIOD) {
+            member.roundAt = now;
+            member.pingsLeft = PINGS;
+            probe(member);
+        } else if (wantsUrgentProbe(member)) {
+            urgent(member);
+        }
+    }
+
+    private boolean wantsUrgentProbe(Member member) {
+        Group group = member.group;
+        boolean nearBound = settings.data().probesTellPosition() && tightestBound != Long.MAX_VALUE
+            && now - member.position > URGENT_AT * tightestBound;
+        boolean noPrimary = group.primary == null || group.primary.down || group.primary.suspectSince != NONE
+            || group.primary.phase != Phase.SERVING;
+        return nearBound || noPrimary || member.down || member.suspectSince != NONE;
+    }
+
+    private void urgent(Member member) {
+        if (settings.limits().probes() && !member.probing && member.phase == Phase.SERVING
+                && (member.probedAt == Long.MIN_VALUE || now - member.probedAt >= URGENT_GAP)) {
+            probe(member);
+        }
+    }
+
+    private void probe(Member member) {
+        member.probing = true;
+        member.probedAt = now;
+        actions.add(new Probe(member.id));
+    }
+}
--- /dev/null
+++ b/src/main/java/ledgewall/simhost/Codec.java
@@ -0,0 +1,267 @@
+package ledgewall.simhost;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import ledgewall.RoutingPolicy;
+import ledgewall.RoutingPolicy.Action;
+import ledgewall.RoutingPolicy.Event;
+
+/** Translates between the wire's messages and the policy's events and actions. Decides nothing. */
+final class Codec {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final int ROLE_PRIMARY = 1;
+    private static final int ROLE_REPLICA = 2;
+
+    private Codec() {
+    }
+
+    static RoutingPolicy.Settings settings(Fields info) {
+        Fields ceilings = info.object("ceilings");
+        Fields domain = info.object("domain");
+        Fields rules = info.object("rules");
+        return new RoutingPolicy.Settings(
+            (int) info.integer("peersTotal", 1), (int) info.integer("rank", 0), (int) info.integer("zone", 0),
+            info.integer("tickNs", NANOS_PER_MILLI), "ask".equals(info.text("discovery", "push")),
+            classes(info, domain), tenants(info), info.decimal("overShareWorth", 1),
+            new RoutingPolicy.Limits(
+                (int) ceilings.integer("maxAttempts", 1), ceilings.flag("parallelTries", false),
+                ceilings.flag("cancel", false), ceilings.flag("probing", false), ceilings.flag("peers", false),
+                ceilings.flag("retryAfter", false), ceilings.integer("maxRetryAfterNs", 0),
+                ceilings.integer("connectTimeoutNs", 0), (int) ceilings.integer("maxOpen", Integer.MAX_VALUE)),
+            data(info, domain),
+            new RoutingPolicy.Rules(
+                rules.integer("answerSlackNs", 0), rules.integer("askWithinNs", 0),
+                rules.integer("stopSendingWithinNs", 0), rules.flag("drainBindsAlone", false),
+                rules.decimal("coldShare", 1), rules.integer("warmAfterNs", 0),
+                rules.decimal("overloadFactor", 1), rules.integer("fallNs", 0)));
+    }
+
+    private static List<RoutingPolicy.RequestClass> classes(Fields info, Fields domain) {
+        List<?> needs = domain.elements("needsByClass");
+        List<?> bounds = domain.elements("stalenessBoundNs");
+        List<RoutingPolicy.RequestClass> classes = new ArrayList<>();
+        for (Fields entry : info.objects("classes")) {
+            int index = classes.size();
+            Object need = index < needs.size() ? needs.get(index) : null;
+            Object bound = index < bounds.size() ? bounds.get(index) : null;
+            classes.add(new RoutingPolicy.RequestClass(
+                need(entry.where(), need), bound instanceof Number number ? number.longValue() : 0,
+                effect(entry), repeatScope(entry), entry.integer("windowNs", 0), entry.integer("aimNs"),
+                entry.integer("deadlineNs"), entry.decimal("points", 1), entry.decimal("lateValue", 0),
+                entry.flag("stream", false)));
+        }
+        return List.copyOf(classes);
+    }
+
+    private static RoutingPolicy.Need need(String where, Object word) {
+        if (word == null) {
+            return RoutingPolicy.Need.ANY;
+        }
+        return switch (word.toString()) {
+            case "any" -> RoutingPolicy.Need.ANY;
+            case "bounded" -> RoutingPolicy.Need.BOUNDED;
+            case "session" -> RoutingPolicy.Need.SESSION;
+            case "fresh" -> RoutingPolicy.Need.FRESH;
+            case "write" -> RoutingPolicy.Need.WRITE;
+            default -> throw new WireException(where + ": unknown need '" + word + "'");
+        };
+    }
+
+    private static RoutingPolicy.Effect effect(Fields entry) {
+        String word = entry.text("effect", "at_most_once");
+        return switch (word) {
+            case "idempotent" -> RoutingPolicy.Effect.IDEMPOTENT;
+            case "deduplicated" -> RoutingPolicy.Effect.DEDUPLICATED;
+            case "at_most_once" -> RoutingPolicy.Effect.AT_MOST_ONCE;
+            default -> throw new WireException(entry.where() + ": unknown effect '" + word + "'");
+        };
+    }
+
+    private static RoutingPolicy.RepeatScope repeatScope(Fields entry) {
+        return switch (entry.text("group", "cell")) {
+            case "all" -> RoutingPolicy.RepeatScope.ALL;
+            case "zone" -> RoutingPolicy.RepeatScope.ZONE;
+            default -> RoutingPolicy.RepeatScope.GROUP;
+        };
+    }
+
+    private static List<RoutingPolicy.Tenant> tenants(Fields info) {
+        return info.objects("tenants").stream()
+            .map(tenant -> new RoutingPolicy.Tenant(
+                tenant.decimal("allowancePerS", Double.MAX_VALUE), tenant.decimal("share", 1)))
+            .toList();
+    }
+
+    private static RoutingPolicy.Data data(Fields info, Fields domain) {
+        Fields report = info.object("report");
+        boolean reports = !"none".equals(report.text("how", "none"));
+        List<?> fields = report.elements("fields");
+        RoutingPolicy.Behind behind = switch (domain.text("behind", "none")) {
+            case "refuse" -> RoutingPolicy.Behind.REFUSES;
+            case "wait" -> RoutingPolicy.Behind.WAITS;
+            default -> RoutingPolicy.Behind.ANSWERS;
+        };
+        RoutingPolicy.ListedRole listed = switch (domain.text("roleListed", "none")) {
+            case "late" -> RoutingPolicy.ListedRole.LATE;
+            case "start" -> RoutingPolicy.ListedRole.AT_START;
+            default -> RoutingPolicy.ListedRole.NEVER;
+        };
+        return new RoutingPolicy.Data(
+            behind, domain.integer("catchUpWaitNs", 0), domain.flag("positions", false),
+            "carried".equals(domain.text("tokens", "remembered")), listed,
+            reports && fields.contains("x0"), reports && fields.contains("x1"));
+    }
+
+    static List<RoutingPolicy.Listing> listings(Fields message) {
+        return message.objects("elements").stream().map(Codec::listing).toList();
+    }
+
+    private static RoutingPolicy.Listing listing(Fields entry) {
+        RoutingPolicy.Phase phase = switch (entry.text("phase", "IN")) {
+            case "LAME" -> RoutingPolicy.Phase.DRAINING;
+            case "OUT" -> RoutingPolicy.Phase.GONE;
+            default -> RoutingPolicy.Phase.SERVING;
+        };
+        return new RoutingPolicy.Listing(
+            entry.text("host"), entry.integer("shard", 0), (int) entry.integer("zone", 0),
+            (int) entry.integer("classOfHost", 0), phase, entry.decimal("powerHint", 1),
+            entry.decimal("isPrimary", 0) == 1, entry.integer("bornNs", 0));
+    }
+
+    static RoutingPolicy.ListKind listKind(Fields message) {
+        String word = message.text("kind");
+        return switch (word) {
+            case "delta" -> RoutingPolicy.ListKind.CHANGES;
+            case "full" -> RoutingPolicy.ListKind.FULL;
+            case "cached" -> RoutingPolicy.ListKind.REMEMBERED;
+            case "failed" -> RoutingPolicy.ListKind.FAILED;
+            default -> throw new WireException(message.where() + ": unknown list kind '" + word + "'");
+        };
+    }
+
+    /** The event of a message, or null for a kind that is not known. {@code origin} is the zero of positions. */
+    static Event event(String what, Fields message, long origin) {
+        return switch (what) {
+            case "ask" -> new RoutingPolicy.Arrival(
+                message.integer("ticket"), (int) message.integer("lane"), (int) message.integer("party", 0),
+                message.integer("dbNo"), message.integer("session", RoutingPolicy.NONE),
+                message.integer("graceNs"), millis(message.decimal("wroteMsAgo", 0)),
+                message.flag("isRetry", false));
+            case "verdict" -> outcome(message, origin);
+            case "headers" -> new RoutingPolicy.AnswerBegun(
+                message.integer("ticket"), (int) message.integer("leg"), message.text("host"));
+            case "lapsed" -> new RoutingPolicy.Lapsed(message.integer("ticket"));
+            case "echo" -> new RoutingPolicy.ProbeResult(
+                message.text("host"), result(message), message.integer("elapsedNs", 0), report(message, origin));
+            case "message" -> new RoutingPolicy.PeerMessage(
+                (int) message.integer("author"), bytes(message));
+            case "tickDue" -> new RoutingPolicy.TimerDue(message.integer("handle"));
+            default -> null;
+        };
+    }
+
+    private static long millis(double value) {
+        return value <= 0 ? RoutingPolicy.NONE : (long) Math.floor(value * NANOS_PER_MILLI);
+    }
+
+    private static Event outcome(Fields message, long origin) {
+        long mark = message.integer("mark", 0);
+        long position = mark >> 2;
+        return new RoutingPolicy.Outcome(
+            message.integer("ticket"), (int) message.integer("leg"), message.text("host"), result(message),
+            message.integer("elapsedNs", 0), message.flag("complete", false), role(mark & 3),
+            position == 0 ? RoutingPolicy.NONE : origin + position * NANOS_PER_MILLI, report(message, origin));
+    }
+
+    private static RoutingPolicy.Role role(long code) {
+        if (code == ROLE_PRIMARY) {
+            return RoutingPolicy.Role.PRIMARY;
+        }
+        return code == ROLE_REPLICA ? RoutingPolicy.Role.REPLICA : RoutingPolicy.Role.UNKNOWN;
+    }
+
+    private static RoutingPolicy.Result result(Fields message) {
+        String word = message.text("result");
+        return switch (word) {
+            case "GOOD" -> RoutingPolicy.Result.OK;
+            case "BAD" -> RoutingPolicy.Result.ERROR;
+            case "FULL" -> RoutingPolicy.Result.REJECTED;
+            case "LATE" -> RoutingPolicy.Result.TIMED_OUT;
+            case "NOCONN" -> RoutingPolicy.Result.NOT_CONNECTED;
+            case "RST" -> RoutingPolicy.Result.RESET;
+            case "CXL" -> RoutingPolicy.Result.CANCELLED;
+            case "NOP" -> RoutingPolicy.Result.NEVER_SENT;
+            case "MISS" -> RoutingPolicy.Result.MISSED;
+            default -> throw new WireException(message.where() + ": unknown result '" + word + "'");
+        };
+    }
+
+    private static RoutingPolicy.Report report(Fields message, long origin) {
+        if (!message.has("report")) {
+            return null;
+        }
+        Fields report = message.object("report");
+        RoutingPolicy.Role role = RoutingPolicy.Role.UNKNOWN;
+        if (report.has("x1")) {
+            role = report.decimal("x1", 0) == 1 ? RoutingPolicy.Role.PRIMARY : RoutingPolicy.Role.REPLICA;
+        }
+        long position = report.has("x0")
+            ? origin + (long) Math.floor(report.decimal("x0", 0) * NANOS_PER_SECOND) : RoutingPolicy.NONE;
+        return new RoutingPolicy.Report(
+            position, role, report.decimal("util", Double.NaN), report.decimal("queue", Double.NaN));
+    }
+
+    private static byte[] bytes(Fields message) {
+        try {
+            return Base64.getDecoder().decode(message.text("octets", ""));
+        } catch (IllegalArgumentException e) {
+            throw new WireException(message.where() + ": 'octets' is no base64");
+        }
+    }
+
+    static void write(JsonGenerator out, int instance, Action action) throws IOException {
+        out.writeStartObject();
+        if (action instanceof RoutingPolicy.Send send) {
+            head(out, "place", instance);
+            out.writeNumberField("ticket", send.request());
+            out.writeNumberField("giveUpAfterNs", send.timeout());
+            out.writeStringField("host", send.member());
+        } else if (action instanceof RoutingPolicy.Refuse refuse) {
+            head(out, "overloadReply", instance);
+            out.writeNumberField("ticket", refuse.request());
+            out.writeNumberField("pauseNs", refuse.retryAfter());
+        } else if (action instanceof RoutingPolicy.Fail fail) {
+            head(out, "reportFailure", instance);
+            out.writeNumberField("ticket", fail.request());
+        } else if (action instanceof RoutingPolicy.Cancel cancel) {
+            head(out, "dropAttempt", instance);
+            out.writeNumberField("ticket", cancel.request());
+            out.writeNumberField("leg", cancel.attempt());
+        } else if (action instanceof RoutingPolicy.Probe probe) {
+            head(out, "poll", instance);
+            out.writeStringField("host", probe.member());
+        } else if (action instanceof RoutingPolicy.SetTimer timer) {
+            head(out, "after", instance);
+            out.writeNumberField("whenNs", timer.at());
+            out.writeNumberField("handle", timer.handle());
+        } else if (action instanceof RoutingPolicy.Subscribe) {
+            head(out, "keepInformed", instance);
+            out.writeBooleanField("active", true);
+        } else if (action instanceof RoutingPolicy.Note note) {
+            head(out, "trace", instance);
+            out.writeStringField("line", note.text());
+        } else {
+            throw new IllegalStateException("no wire form for " + action);
+        }
+        out.writeEndObject();
+    }
+
+    private static void head(JsonGenerator out, String what, int instance) throws IOException {
+        out.writeStringField("what", what);
+        out.writeNumberField("who", instance);
+    }
+}
--- /dev/null
+++ b/src/main/java/ledgewall/simhost/SimHost.java
@@ -0,0 +1,165 @@
+package ledgewall.simhost;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.StringWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import ledgewall.RoutingPolicy;
+
+/** Hosts one policy for each instance of the simulator and carries batches and replies between them. */
+public final class SimHost {
+    private final JsonFactory json = new JsonFactory();
+    private final RoutingPolicy.Factory factory;
+    private final Map<Integer, Instance> instances = new HashMap<>();
+    private final Map<Long, List<RoutingPolicy.Listing>> lists = new HashMap<>();
+
+    /** A running instance and its events of the batch in hand. */
+    private record Instance(RoutingPolicy policy, long origin, List<RoutingPolicy.Event> events) { }
+
+    public SimHost(RoutingPolicy.Factory factory) {
+        this.factory = factory;
+    }
+
+    /** Answers each line of input with one line, until the input ends. */
+    public void serve(InputStream in, OutputStream out) throws IOException {
+        BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        long number = 0;
+        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+            number++;
+            out.write(reply(line, "line " + number).getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+    }
+
+    /** The whole reply to a batch, with its line end; nothing of it exists if the batch is malformed. */
+    String reply(String line, String where) throws IOException {
+        Map<Integer, Instance> touched = new LinkedHashMap<>();
+        long now = readBatch(line, where, touched);
+        StringWriter text = new StringWriter();
+        try (JsonGenerator out = json.createGenerator(text)) {
+            out.writeStartObject();
+            out.writeArrayFieldStart("do");
+            for (Map.Entry<Integer, Instance> entry : touched.entrySet()) {
+                Instance instance = entry.getValue();
+                List<RoutingPolicy.Event> events = List.copyOf(instance.events());
+                instance.events().clear();
+                for (RoutingPolicy.Action action : instance.policy().decide(now, events)) {
+                    Codec.write(out, entry.getKey(), action);
+                }
+            }
+            out.writeEndArray();
+            out.writeEndObject();
+        }
+        return text.append('\n').toString();
+    }
+
+    private long readBatch(String line, String where, Map<Integer, Instance> touched) throws IOException {
+        Long now = null;
+        List<Fields> messages = new ArrayList<>();
+        try (JsonParser parser = json.createParser(line)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new WireException(where + ": no JSON object");
+            }
+            while (parser.nextToken() != JsonToken.END_OBJECT) {
+                String name = parser.currentName();
+                JsonToken token = parser.nextToken();
+                if (name.equals("atTimeNs") && token == JsonToken.VALUE_NUMBER_INT) {
+                    now = parser.getLongValue();
+                } else if (name.equals("msgs") && token == JsonToken.START_ARRAY) {
+                    readMessages(parser, where, messages);
+                } else {
+                    parser.skipChildren();
+                }
+            }
+            if (parser.nextToken() != null) {
+                throw new WireException(where + ": more than one value");
+            }
+        } catch (JsonProcessingException e) {
+            throw new WireException(where + ": no JSON: " + e.getOriginalMessage());
+        }
+        if (now == null) {
+            throw new WireException(where + ": lacks 'atTimeNs'");
+        }
+        for (Fields message : messages) {
+            accept(message, touched);
+        }
+        return now;
+    }
+
+    private static void readMessages(JsonParser parser, String where, List<Fields> messages) throws IOException {
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            String place = where + ", msgs[" + messages.size() + "]";
+            if (parser.currentToken() != JsonToken.START_OBJECT) {
+                throw new WireException(place + ": no object");
+            }
+            messages.add(Fields.read(parser, place));
+        }
+    }
+
+    private void accept(Fields message, Map<Integer, Instance> touched) {
+        String what = message.text("what");
+        switch (what) {
+            case "defineList" -> lists.put(message.integer("rosterId"), Codec.listings(message));
+            case "begin" -> {
+                int who = (int) message.integer("who");
+                if (!message.has("info")) {
+                    throw new WireException(message.where() + ": lacks 'info'");
+                }
+                Fields info = message.object("info");
+                RoutingPolicy policy = factory.create(Codec.settings(info), message.integer("salt"));
+                long origin = info.object("domain").integer("originTimeNs", 0);
+                Instance instance = new Instance(policy, origin, new ArrayList<>());
+                instances.put(who, instance);
+                touched.put(who, instance);
+            }
+            case "teardown" -> {
+                int who = (int) message.integer("who");
+                instances.remove(who);
+                touched.remove(who);
+            }
+            default -> deliver(what, message, touched);
+        }
+    }
+
+    private void deliver(String what, Fields message, Map<Integer, Instance> touched) {
+        if (!message.has("who")) {
+            return; // a kind of message that is not known and names no instance
+        }
+        int who = (int) message.integer("who");
+        Instance instance = instances.get(who);
+        if (instance == null) {
+            return; // meant for a life that has ended
+        }
+        RoutingPolicy.Event event = what.equals("directoryUpdate")
+            ? memberList(message) : Codec.event(what, message, instance.origin());
+        if (event != null) {
+            instance.events().add(event);
+            touched.put(who, instance);
+        }
+    }
+
+    private RoutingPolicy.MemberList memberList(Fields message) {
+        RoutingPolicy.ListKind kind = Codec.listKind(message);
+        if (kind == RoutingPolicy.ListKind.FAILED) {
+            return new RoutingPolicy.MemberList(kind, List.of());
+        }
+        List<RoutingPolicy.Listing> listings = lists.get(message.integer("rosterId"));
+        if (listings == null) {
+            throw new WireException(message.where() + ": 'rosterId' names a list never defined");
+        }
+        return new RoutingPolicy.MemberList(kind, listings);
+    }
+}
--- /dev/null
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -0,0 +1,233 @@
+package ledgewall;
+
+import static ledgewall.Bench.ANY;
+import static ledgewall.Bench.BOUNDED;
+import static ledgewall.Bench.MS;
+import static ledgewall.Bench.SECOND;
+import static ledgewall.Bench.WRITE;
+import static ledgewall.Bench.count;
+import static ledgewall.Bench.line;
+import static ledgewall.Bench.sends;
+import static ledgewall.Bench.settings;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import ledgewall.RoutingPolicy.*;
+import org.junit.jupiter.api.Test;
+
+class BrainTest {
+
+    // The ordinary path
+
+    @Test
+    void readsGoToBothReplicasAndNeverToThePrimary() {
+        Bench bench = new Bench(settings()).ready();
+        for (int i = 0; i < 40; i++) {
+            List<String> sent = sends(bench.ask(i % 2 == 0 ? ANY : BOUNDED));
+            assertEquals(1, sent.size());
+            bench.outcome(bench.lastRequest(), 0, sent.get(0), Result.OK, Role.REPLICA);
+        }
+        List<String> all = sends(bench.log);
+        assertTrue(all.contains("a") && all.contains("b"));
+        assertFalse(all.contains("p"));
+    }
+
+    @Test
+    void writesGoToTheMemberLastSeenAsPrimary() {
+        Bench bench = new Bench(settings()).ready();
+        assertEquals(List.of("p"), sends(bench.ask(WRITE)));
+        bench.now += SECOND;
+        bench.echo("a", Role.PRIMARY, bench.now);
+        assertEquals(List.of("a"), sends(bench.ask(WRITE)));
+    }
+
+    @Test
+    void everyMemberIsProbedThreeTimesAtTheStartAndAgainAfterFiveSeconds() {
+        Bench bench = new Bench(settings());
+        List<Action> first = bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("p"), line("a"))));
+        assertEquals(2, count(first, Probe.class));
+        assertEquals(1, count(bench.echo("a", Role.REPLICA, bench.now), Probe.class));
+        assertEquals(1, count(bench.echo("a", Role.REPLICA, bench.now), Probe.class));
+        assertEquals(0, count(bench.echo("a", Role.REPLICA, bench.now), Probe.class));
+        bench.now += 5 * SECOND;
+        assertTrue(bench.feed(new TimerDue(1)).contains(new Probe("a")));
+    }
+
+    @Test
+    void aFailedProbeTakesTheMembersReadsUntilOneSucceeds() {
+        Bench bench = new Bench(settings()).ready();
+        bench.feed(new ProbeResult("a", Result.NOT_CONNECTED, MS, null));
+        for (int i = 0; i < 20; i++) {
+            assertEquals(List.of("b"), sends(bench.ask(ANY)));
+            bench.outcome(bench.lastRequest(), 0, "b", Result.OK, Role.REPLICA);
+        }
+    }
+
+    @Test
+    void aReadThatFailsFallsThroughToTheOtherReplicaAndThenThePrimary() {
+        Bench bench = new Bench(settings()).ready();
+        String first = sends(bench.ask(ANY)).get(0);
+        String second = sends(bench.outcome(1, 0, first, Result.NOT_CONNECTED, Role.UNKNOWN)).get(0);
+        assertNotEquals(first, second);
+        assertEquals(List.of("p"), sends(bench.outcome(1, 1, second, Result.RESET, Role.UNKNOWN)));
+    }
+
+    @Test
+    void aBoundedReadSpillsToThePrimaryWhileEveryReplicaLags() {
+        Bench bench = new Bench(settings()).ready();
+        bench.now += 3 * SECOND;
+        bench.echo("p", Role.PRIMARY, bench.now);
+        bench.echo("a", Role.REPLICA, bench.now - 2 * SECOND);
+        bench.echo("b", Role.REPLICA, bench.now - 2 * SECOND);
+        assertEquals(List.of("p"), sends(bench.ask(BOUNDED)));
+    }
+
+    @Test
+    void aWriteTurnedAwayIsHeldWhileTheGroupIsProbedAndGoesToTheNewPrimary() {
+        Bench bench = new Bench(settings()).ready();
+        bench.ask(WRITE);
+        bench.now += SECOND;
+        assertEquals(List.of(), sends(bench.outcome(1, 0, "p", Result.MISSED, Role.REPLICA)));
+        bench.echo("a", Role.PRIMARY, bench.now);
+        assertEquals(List.of("a"), sends(bench.pass(20 * MS)));
+    }
+
+    // Rule 1: one final answer, in time
+
+    @Test
+    void aHeldWriteIsRefusedBeforeItsTimeIsUp() {
+        Bench bench = new Bench(settings());
+        bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
+        bench.echo("a", Role.REPLICA, bench.now);
+        bench.feed(bench.arrival(WRITE, SECOND));
+        List<Action> actions = bench.pass(999 * MS);
+        assertEquals(1, count(actions, Refuse.class));
+        assertEquals(0, count(actions, Fail.class));
+    }
+
+    @Test
+    void aSentWriteThatNeverAnswersFailsBeforeItsTimeIsUp() {
+        Bench bench = new Bench(settings()).ready();
+        bench.ask(WRITE);
+        List<Action> actions = bench.pass(4_999 * MS);
+        assertEquals(1, count(actions, Fail.class));
+        assertEquals(0, count(actions, Refuse.class));
+    }
+
+    @Test
+    void nothingIsSaidOfARequestThatLapsed() {
+        Bench bench = new Bench(settings());
+        bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))), bench.arrival(WRITE, SECOND));
+        bench.feed(new Lapsed(1));
+        List<Action> actions = bench.pass(2 * SECOND);
+        assertEquals(0, count(actions, Refuse.class) + count(actions, Fail.class) + count(actions, Send.class));
+    }
+
+    @Test
+    void aRequestOfAnUnknownClassOrGroupGetsItsAnswer() {
+        Bench bench = new Bench(settings()).ready();
+        assertEquals(1, count(bench.feed(new Arrival(90, 9, 0, 1, 0, SECOND, RoutingPolicy.NONE, false)),
+            Refuse.class));
+        bench.feed(new Arrival(91, ANY, 0, 77, 0, SECOND, RoutingPolicy.NONE, false));
+        assertTrue(bench.pass(SECOND).contains(new Refuse(91, 0)));
+    }
+
+    // Rule 2: no effect twice
+
+    @Test
+    void anUnsafeWriteThatMayHaveRunFailsAndIsNotSentAgain() {
+        for (Result result : List.of(Result.ERROR, Result.RESET, Result.TIMED_OUT, Result.CANCELLED)) {
+            Bench bench = new Bench(settings()).ready();
+            bench.ask(WRITE);
+            List<Action> actions = bench.outcome(1, 0, "p", result, Role.UNKNOWN);
+            assertEquals(1, count(actions, Fail.class), result.name());
+            assertEquals(0, count(actions, Send.class), result.name());
+        }
+    }
+
+    @Test
+    void aDeduplicatedWriteIsNotSentAgainOnceItsWindowHasPassed() {
+        Bench bench = new Bench(settings(Effect.DEDUPLICATED, Behind.REFUSES, false)).ready();
+        bench.ask(WRITE);
+        bench.now += 1_100 * MS;
+        bench.echo("a", Role.PRIMARY, bench.now);
+        assertEquals(List.of(), sends(bench.outcome(1, 0, "p", Result.RESET, Role.UNKNOWN)));
+        assertEquals(List.of(), sends(bench.pass(SECOND)));
+    }
+
+    // Rule 3: drains
+
+    @Test
+    void nothingGoesToAMemberThatDrainsOrIsGone() {
+        Bench bench = new Bench(settings()).ready();
+        bench.feed(new MemberList(ListKind.CHANGES, List.of(line("a", Phase.DRAINING, 0))));
+        for (int i = 0; i < 20; i++) {
+            assertEquals(List.of("b"), sends(bench.ask(ANY)));
+            bench.outcome(bench.lastRequest(), 0, "b", Result.OK, Role.REPLICA);
+        }
+        bench.feed(new MemberList(ListKind.FULL, List.of(line("p"))));
+        assertEquals(List.of("p"), sends(bench.ask(ANY)));
+    }
+
+    @Test
+    void aListThatMustBeAskedForIsAskedForAgainAfterAFailure() {
+        Bench bench = new Bench(settings(Effect.AT_MOST_ONCE, Behind.REFUSES, true));
+        assertEquals(1, count(bench.feed(new MemberList(ListKind.REMEMBERED, List.of())), Subscribe.class));
+        bench.feed(new MemberList(ListKind.FAILED, List.of()));
+        assertEquals(0, count(bench.pass(900 * MS), Subscribe.class));
+        assertEquals(1, count(bench.pass(1_200 * MS), Subscribe.class));
+    }
+
+    // Rule 4: cold members
+
+    @Test
+    void aColdMemberGetsNoMoreThanItsBudgetInAWindow() {
+        Bench bench = new Bench(settings());
+        bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("c", Phase.SERVING, bench.now))));
+        bench.echo("c", Role.REPLICA, bench.now);
+        for (int i = 0; i < 50; i++) {
+            bench.ask(ANY);
+        }
+        assertTrue(sends(bench.log).size() <= 2);
+    }
+
+    // Rule 5: stale reads
+
+    @Test
+    void wherePositionsAreNotEnforcedALaggingReplicaGetsNoBoundedRead() {
+        Bench bench = new Bench(settings(Effect.AT_MOST_ONCE, Behind.ANSWERS, false));
+        bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
+        bench.echo("a", Role.REPLICA, bench.now - 2 * SECOND);
+        bench.ask(BOUNDED);
+        bench.pass(SECOND);
+        assertEquals(List.of(), sends(bench.log));
+    }
+
+    // Defences
+
+    @Test
+    void readsAreTakenBackFromAMemberThatAnswersNothing() {
+        Bench bench = new Bench(settings()).ready();
+        String silent = sends(bench.feed(bench.arrival(ANY, 1_500 * MS))).get(0);
+        List<Action> actions = bench.pass(760 * MS);
+        assertTrue(actions.contains(new Cancel(1, 0)));
+        String next = sends(bench.outcome(1, 0, silent, Result.CANCELLED, Role.UNKNOWN)).get(0);
+        assertNotEquals(silent, next);
+    }
+
+    @Test
+    void theSameEventsBringTheSameActions() {
+        Bench one = new Bench(settings()).ready();
+        Bench two = new Bench(settings()).ready();
+        for (Bench bench : List.of(one, two)) {
+            for (int i = 0; i < 50; i++) {
+                bench.ask(i % 3);
+                bench.pass(5 * MS);
+            }
+        }
+        assertEquals(one.log, two.log);
+    }
+}
