Bound own attempts by windows steered by answers

Cause: attempts turned away as full were asked again at once and queues of servers filled with work that was late already. Each member now has a window of own attempts, widened while answers take under half of their aims and narrowed otherwise; what finds no room waits in the router while it can be in time, newest first. It should also hold against slow and cold members; it could hurt bursts on idle members. A suspect primary gets trial writes.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -32,20 +32,27 @@
     private static final double PING_MARGIN = 0.125;
     /** A member whose expected delay is over this multiple of the best one's is crowded, not just unlucky. */
     private static final double CROWDED = 2.0;
-    /** Urgent probes start when this part of the tightest bound has passed since the position was seen. */
-    private static final double URGENT_AT = 0.33;
+    /** Part of a bound after which a position is probed anew, and below which a lag is taken to hold on. */
+    private static final double NEAR_BOUND = 0.33;
     /** Gap between urgent probes of one member: some a second, few against its reads. */
     private static final long URGENT_GAP = 250 * MS;
-    /** Where members refuse stale reads, a lag seen below this part of the bound is taken to hold on. */
-    private static final double CARRIED_LAG = 0.33;
-    /** Silence worth this many expected answers is a fault, not chance (e^-6 is one in four hundred). */
+    /** Silence worth this many expected answers is a fault, not chance (e^-6); none that is short counts. */
     private static final double SILENCE = 6;
-    /** No silence shorter than this counts: network jitter and ticks. */
     private static final long LEAST_SILENCE = 100 * MS;
     /** A member under suspicion is offered one read in this time. */
     private static final long TRIAL_GAP = 500 * MS;
-    /** A member that rejected work unseen is left alone for about the time its queue needs to move. */
-    private static final long REJECTED_REST = 50 * MS;
+    /** A member's answers should take this part of their aims: the rest is for the long tail of work. */
+    private static final double STRAIN_AIM = 0.5;
+    private static final double FIRST_STRAIN = 0.25;
+    /** Windows of own attempts: where they start (cold or unknown), their bounds, and the step down. */
+    private static final double FIRST_WINDOW = 6;
+    private static final double COLD_WINDOW = 2;
+    private static final double MOST_WINDOW = 64;
+    private static final double STEP_DOWN = 0.85;
+    /** A window is lowered once in this time, about what an answer takes to show the last step. */
+    private static final long STEP_GAP = 100 * MS;
+    /** Reads get this part of the primary's window: its writes can go nowhere else. */
+    private static final double PRIMARY_FOR_READS = 0.5;
     /** Weight of a sample in running means: of a member (fast, to show trouble), of a class (steady). */
     private static final double MEMBER_WEIGHT = 0.1;
     private static final double CLASS_WEIGHT = 0.02;
@@ -55,15 +62,12 @@
     private static final double FRESH_HOLD = 0.1;
     /** A listed role is taken for evidence this old: about as late as lists are. */
     private static final long LIST_AGE = 5 * SECOND;
-    /** Held requests of a group: about what a new primary can catch up on. */
-    private static final int MOST_HELD = 200;
     /** Part of a cold member's budget that is spent; the rest is for chance in the work of requests. */
     private static final double BUDGET_PART = 0.7;
     /** Sends in a window that a cold member gets even when nothing is known of its size. */
     private static final double LEAST_BUDGET = 2;
-    /** Waits before asking for the list again after failures; the longest keeps well within the rule. */
+    /** First wait before asking for the list again after a failure; the rule gives the longest. */
     private static final long ASK_AGAIN = SECOND;
-    private static final long ASK_LONGEST = 6 * SECOND;
     private static final long HEARTBEAT = 1;
 
     /** What is known of one member: what the list says, newest evidence, health, own attempts. */
@@ -79,9 +83,10 @@
         double ping;
         int pingsLeft;
         long probedAt = Long.MIN_VALUE, roundAt = Long.MIN_VALUE;
-        long suspectSince = NONE, trialAt = Long.MIN_VALUE, restUntil = Long.MIN_VALUE;
+        long suspectSince = NONE, trialAt = Long.MIN_VALUE;
         long answeredAt = Long.MIN_VALUE, sampledAt;
-        double slowness = 1, servedRate;
+        double strain = FIRST_STRAIN, servedRate, window = FIRST_WINDOW;
+        long loweredAt = Long.MIN_VALUE;
         final List<Attempt> open = new ArrayList<>();
         final ArrayDeque<Spent> spent = new ArrayDeque<>();
 
@@ -89,10 +94,6 @@
             this.id = id;
             this.group = group;
         }
-
-        long lagSeen() {
-            return positionAt == Long.MIN_VALUE ? Long.MAX_VALUE : positionAt - position;
-        }
     }
 
     private record Spent(long at, double work) { }
@@ -146,6 +147,7 @@
     private long nextBeat = Long.MIN_VALUE;
     private long askAt = Long.MAX_VALUE;
     private long askWait = ASK_AGAIN;
+    private double usualStrain = FIRST_STRAIN;
 
     public Brain(Settings settings, long seed) {
         this.settings = settings;
@@ -161,20 +163,16 @@
         now = time;
         actions = new ArrayList<>();
         if (startedAt == Long.MIN_VALUE) {
-            startedAt = now;
-            nextBeat = now;
-            if (settings.askForList()) {
-                actions.add(new Subscribe());
-            }
-        }
-        for (Event event : events) {
-            learn(event);
+            startedAt = nextBeat = now;
+            askAt = settings.askForList() ? now : Long.MAX_VALUE;
         }
+        events.forEach(this::learn);
         if (now >= nextBeat) {
             beat();
             nextBeat = now + beat;
             actions.add(new SetTimer(nextBeat, HEARTBEAT));
         }
+        groups.values().forEach(this::resume);
         List<Request> ready = pending;
         pending = new ArrayList<>();
         ready.forEach(this::route);
@@ -192,16 +190,10 @@
             learnOutcome(outcome);
         } else if (event instanceof ProbeResult echo) {
             learnProbe(echo);
-        } else if (event instanceof AnswerBegun begun) {
-            Request request = requests.get(begun.request());
-            if (request != null) {
-                request.begun = true;
-            }
-        } else if (event instanceof Lapsed lapsed) {
-            Request request = requests.get(lapsed.request());
-            if (request != null && !request.over) {
-                close(request);
-            }
+        } else if (event instanceof AnswerBegun begun && requests.containsKey(begun.request())) {
+            requests.get(begun.request()).begun = true;
+        } else if (event instanceof Lapsed lapsed && requests.containsKey(lapsed.request())) {
+            close(requests.get(lapsed.request()));
         }
     }
 
@@ -217,13 +209,10 @@
         // answer, for an end here would only make the client ask for the same work again.
         long lastSend = kind.lateWorth() > 0 ? end : Math.min(end, now + kind.aim() - beat);
         Request request = new Request(arrival, kind, group, now, end, lastSend);
-        if (kind.need() == Need.FRESH) {
-            request.needed = now;
-        } else if (kind.need() == Need.SESSION && settings.data().tokensCarried()) {
-            request.needed = arrival.sinceWrite() == NONE ? Long.MIN_VALUE : now - arrival.sinceWrite();
-        } else if (kind.need() == Need.SESSION) {
-            request.needed = sessionWrites.getOrDefault(arrival.session(), Long.MIN_VALUE);
-        }
+        boolean carried = settings.data().tokensCarried();
+        request.needed = kind.need() == Need.FRESH ? now
+            : carried && arrival.sinceWrite() != NONE ? now - arrival.sinceWrite()
+            : carried ? Long.MIN_VALUE : sessionWrites.getOrDefault(arrival.session(), Long.MIN_VALUE);
         requests.put(arrival.request(), request);
         pending.add(request);
     }
@@ -232,11 +221,13 @@
     private void learnList(MemberList list) {
         if (list.kind() == ListKind.FAILED) {
             askAt = now + askWait + random.nextLong(askWait);
-            askWait = Math.min(2 * askWait, ASK_LONGEST);
+            askWait = Math.min(2 * askWait, settings.rules().askWithin() / 2);
             return;
         }
-        askWait = ASK_AGAIN;
-        askAt = Long.MAX_VALUE;
+        if (list.kind() != ListKind.REMEMBERED) {
+            askWait = ASK_AGAIN;
+            askAt = Long.MAX_VALUE;
+        }
         boolean lenient = settings.rules().drainBindsAlone();
         if (list.kind() != ListKind.CHANGES) {
             Set<String> listed = list.listings().stream().map(Listing::member).collect(Collectors.toSet());
@@ -252,11 +243,12 @@
                 member.coldSince = Math.max(member.coldSince, line.born());
                 member.down = false;
                 member.suspectSince = NONE;
+                member.window = COLD_WINDOW;
             }
             if (line.phase() != Phase.GONE || !lenient) {
                 member.phase = line.phase();
             }
-            if (line.primary() && settings.data().listedRole() != ListedRole.NEVER) {
+            if (line.primary()) {
                 boolean late = settings.data().listedRole() == ListedRole.LATE;
                 learnRole(member, Role.PRIMARY, late ? now - LIST_AGE : Long.MIN_VALUE + 1);
             }
@@ -278,20 +270,15 @@
         member.role = role;
         member.roleAt = at;
         Group group = member.group;
-        if (role == Role.PRIMARY && at >= group.primaryAt) {
-            group.primary = member;
-            group.primaryAt = at;
-        } else if (role == Role.REPLICA && group.primary == member && at > group.primaryAt) {
-            group.primary = null;
+        if (at >= group.primaryAt && (role == Role.PRIMARY || group.primary == member)) {
+            group.primary = role == Role.PRIMARY ? member : null;
             group.primaryAt = at;
         }
     }
 
     private void learnPosition(Member member, long position) {
-        if (position != NONE) {
-            member.position = Math.max(member.position, position);
-            member.positionAt = now;
-        }
+        member.position = Math.max(member.position, position);
+        member.positionAt = position == NONE ? member.positionAt : now;
     }
 
     private void learnProbe(ProbeResult echo) {
@@ -304,19 +291,16 @@
             member.down |= echo.result() != Result.REJECTED;
             return;
         }
-        if (member.down) {
-            member.down = false;
-            member.coldSince = Math.max(member.coldSince, now); // it was gone, so it has started again
-        }
+        member.window = member.down ? COLD_WINDOW : member.window;
+        member.down = false;
         member.ping += (echo.elapsed() - member.ping) / (member.ping == 0 ? 1 : PINGS);
         if (--member.pingsLeft > 0) {
             probe(member);
         }
-        Report report = echo.report();
-        if (report != null) {
-            learnPosition(member, report.position());
-            long asOf = report.position() == NONE ? now - echo.elapsed() : report.position();
-            learnRole(member, report.role(), asOf);
+        if (echo.report() != null) {
+            long position = echo.report().position();
+            learnPosition(member, position);
+            learnRole(member, echo.report().role(), position == NONE ? now - echo.elapsed() : position);
         }
     }
 
@@ -350,22 +334,27 @@
     /** Health from answers: how long a member takes against what its class takes everywhere. */
     private void learnHealth(Member member, Attempt attempt, Outcome outcome) {
         int index = attempt.request().arrival.requestClass();
-        double took = outcome.elapsed() / classMean[index];
+        double strain = outcome.elapsed() / (double) attempt.request().kind.aim();
         switch (outcome.result()) {
             case OK -> {
                 answered(member);
                 classMean[index] += CLASS_WEIGHT * (outcome.elapsed() - classMean[index]);
-                sample(member, took);
+                sample(member, strain);
                 member.servedRate += 1;
+                if (strain(member) > STRAIN_AIM) {
+                    narrow(member);
+                } else if (member.open.size() + 1 >= member.window / 2) {
+                    member.window = Math.min(MOST_WINDOW, member.window + 1 / member.window);
+                }
             }
-            case MISSED, ERROR, REJECTED -> {
+            case MISSED, ERROR -> answered(member);
+            case REJECTED -> {
                 answered(member);
-                member.restUntil = outcome.result() == Result.REJECTED ? now + REJECTED_REST : now;
+                narrow(member);
             }
             case TIMED_OUT, CANCELLED -> {
-                if (took > slowness(member)) {
-                    sample(member, took);
-                }
+                sample(member, Math.max(strain, strain(member)));
+                narrow(member);
             }
             case NOT_CONNECTED, RESET -> {
                 member.down = true;
@@ -380,13 +369,22 @@
         member.suspectSince = NONE;
     }
 
-    private void sample(Member member, double took) {
-        member.slowness = slowness(member) + MEMBER_WEIGHT * (took - slowness(member));
+    private void sample(Member member, double strain) {
+        member.strain = strain(member) + MEMBER_WEIGHT * (strain - strain(member));
+        usualStrain += CLASS_WEIGHT * (strain - usualStrain);
         member.sampledAt = now;
     }
 
-    private double slowness(Member member) {
-        return 1 + (member.slowness - 1) * Math.exp((member.sampledAt - now) / FADE);
+    /** How much of their aims a member's answers take; without samples this fades to what is usual. */
+    private double strain(Member member) {
+        return usualStrain + (member.strain - usualStrain) * Math.exp((member.sampledAt - now) / FADE);
+    }
+
+    private void narrow(Member member) {
+        if (member.loweredAt == Long.MIN_VALUE || now - member.loweredAt >= STEP_GAP) {
+            member.loweredAt = now;
+            member.window = Math.max(1, member.window * STEP_DOWN);
+        }
     }
 
     // ---- Routing: the one place that picks a member
@@ -398,9 +396,8 @@
         Member member = request.kind.need() == Need.WRITE ? pickForWrite(request) : pickForRead(request);
         if (member != null && send(request, member)) {
             return;
-        }
-        if (worthHolding(request)) {
-            hold(request);
+        } else if (worthHolding(request)) {
+            request.group.held.add(request);
         } else {
             end(request);
         }
@@ -415,14 +412,14 @@
     private Member pickForWrite(Request request) {
         Member primary = request.group.primary;
         if (primary != null) {
-            return healthy(primary) && permitted(request, primary) ? primary : null;
+            return healthy(primary) && room(primary, 1) && permitted(request, primary) ? primary : null;
         }
         boolean probesTell = settings.data().probesTellRole() && settings.limits().probes();
         if (probesTell || request.attempts.size() >= settings.limits().maxAttempts() - 1) {
             return null;
         }
         // Only an answer can tell who is primary: a held write asks, a wrong member leaves it untouched.
-        return candidates(request, this::healthy).stream().findFirst().orElse(null);
+        return candidates(request, m -> healthy(m) && room(m, 1)).stream().findFirst().orElse(null);
     }
 
     private Member pickForRead(Request request) {
@@ -432,17 +429,18 @@
             return null; // a fresh router waits for its first probes
         }
         List<Member> replicas = candidates(request,
-            m -> m != group.primary && healthy(m) && eligible(request, m));
+            m -> m != group.primary && healthy(m) && room(m, 1) && eligible(request, m));
         if (!replicas.isEmpty()) {
             return drawNearFastest(request, replicas);
         }
-        List<Member> primary = candidates(request, m -> m == group.primary && healthy(m));
+        List<Member> primary = candidates(request,
+            m -> m == group.primary && healthy(m) && room(m, PRIMARY_FOR_READS));
         if (!primary.isEmpty()) {
             return primary.get(0);
         }
         // Nobody looks well: doubt the judgement rather than the members.
-        return candidates(request, m -> eligible(request, m) && now >= m.trialAt + TRIAL_GAP).stream()
-            .findFirst().orElse(null);
+        return candidates(request, m -> !healthy(m) && eligible(request, m) && now >= m.trialAt + TRIAL_GAP)
+            .stream().findFirst().orElse(null);
     }
 
     /** The design's draw, without members that are clearly more crowded than the best. */
@@ -455,19 +453,22 @@
         return replicas.get(random.nextInt(replicas.size()));
     }
 
-    /** Relative delay to be expected of a member: its slowness times the own attempts before a new one. */
+    /** Relative delay to be expected of a member: its strain times the own attempts before a new one. */
     private double delay(Member member) {
-        return slowness(member) * (member.open.size() + 1);
+        return strain(member) * (member.open.size() + 1);
+    }
+
+    /**
+     * Guards against overload, of one member or of all, known only by its answers: no more own attempts are
+     * out than leave answers well inside their aims. Harm: a burst waits for idle members' windows to widen.
+     */
+    private boolean room(Member member, double part) {
+        return member.open.size() < Math.max(1, member.window * part);
     }
 
     private boolean healthy(Member member) {
-        if (member.down || now < member.restUntil) {
-            return false;
-        }
-        if (member.suspectSince == NONE) {
-            return true;
-        }
-        return member.open.isEmpty() && now >= member.trialAt + TRIAL_GAP && member.role != Role.PRIMARY;
+        boolean trial = member.open.isEmpty() && now >= member.trialAt + TRIAL_GAP;
+        return !member.down && (member.suspectSince == NONE || trial);
     }
 
     /** Whether the member's data is new enough, as far as this router can know. */
@@ -480,8 +481,8 @@
             case BOUNDED -> {
                 long bound = request.kind.stalenessBound();
                 yield member == request.group.primary || member.position >= now - bound
-                    || refuses && member.lagSeen() < CARRIED_LAG * bound
-                    && now - member.positionAt < PROBE_PERIOD;
+                    || refuses && member.positionAt > now - PROBE_PERIOD
+                    && member.positionAt - member.position < NEAR_BOUND * bound;
             }
         };
     }
@@ -526,6 +527,7 @@
     private boolean withinBudget(Member member, double work) {
         Rules rules = settings.rules();
         if (!cold(member)) {
+            member.spent.clear();
             return true;
         }
         long age = Math.max(0, now - member.coldSince);
@@ -556,9 +558,6 @@
         request.unanswered++;
         member.open.add(attempt);
         member.spent.add(new Spent(now, work(request)));
-        if (member.spent.size() > 1000) {
-            member.spent.removeFirst();
-        }
         if (member.suspectSince != NONE || member.down) {
             member.trialAt = now;
         }
@@ -597,13 +596,22 @@
 
     // ---- Holding and ending
 
+    /** A hold is bounded: reads as long as an answer can still be in time, writes as long as it has worth. */
     private boolean worthHolding(Request request) {
-        return now < request.lastSend && request.mayHaveRun == null && request.group.held.size() < MOST_HELD
-            && request.attempts.size() < settings.limits().maxAttempts();
+        double usual = classMean[request.arrival.requestClass()];
+        boolean inTime = now + usual < request.at + request.kind.aim();
+        boolean worth = inTime || request.kind.need() == Need.WRITE && now + usual < request.lastSend;
+        return worth && request.attempts.size() < settings.limits().maxAttempts()
+            && (request.mayHaveRun == null || request.kind.effect() == Effect.IDEMPOTENT);
     }
 
-    private void hold(Request request) {
-        request.group.held.add(request);
+    /** Held requests that are still in time go first, the newest of them first: they have the best chance. */
+    private void resume(Group group) {
+        group.held.removeIf(r -> r.over);
+        group.held.sort(Comparator.comparing((Request r) -> now > r.at + r.kind.aim())
+            .thenComparing(r -> -r.at));
+        pending.addAll(group.held);
+        group.held.clear();
     }
 
     /** The one place that ends a request: refuses where nothing can have run, else fails. */
@@ -657,15 +665,6 @@
             }
             member.servedRate *= Math.exp(-beat / (double) SECOND);
         }
-        for (Group group : groups.values()) {
-            if (!group.held.isEmpty()) {
-                List<Request> held = new ArrayList<>(group.held);
-                group.held.clear();
-                held.removeIf(r -> r.over);
-                held.sort(Comparator.comparingLong(r -> r.at));
-                pending.addAll(held);
-            }
-        }
     }
 
     /**
@@ -678,7 +677,7 @@
         for (Attempt attempt : member.open) {
             long silent = now - Math.max(attempt.sentAt(), member.answeredAt);
             longest = Math.max(longest, silent);
-            missing += silent / (classMean[attempt.request().arrival.requestClass()] * slowness(member));
+            missing += silent / (attempt.request().kind.aim() * strain(member));
         }
         if (missing < SILENCE || longest < LEAST_SILENCE) {
             return;
@@ -700,7 +699,7 @@
     }
 
     private void probeWhenDue(Member member) {
-        if (!settings.limits().probes() || member.probing) {
+        if (member.probing) {
             return;
         }
         if (member.roundAt == Long.MIN_VALUE || now - member.roundAt >= PROBE_PERIOD) {
@@ -714,23 +713,25 @@
 
     private boolean wantsUrgentProbe(Member member) {
         Group group = member.group;
-        boolean nearBound = settings.data().probesTellPosition() && tightestBound != Long.MAX_VALUE
-            && now - member.position > URGENT_AT * tightestBound;
+        boolean nearBound = settings.data().probesTellPosition()
+            && now - member.position > NEAR_BOUND * tightestBound;
         boolean noPrimary = group.primary == null || group.primary.down || group.primary.suspectSince != NONE
             || group.primary.phase != Phase.SERVING;
         return nearBound || noPrimary || member.down || member.suspectSince != NONE;
     }
 
     private void urgent(Member member) {
-        if (settings.limits().probes() && !member.probing && member.phase == Phase.SERVING
+        if (!member.probing && member.phase == Phase.SERVING
                 && (member.probedAt == Long.MIN_VALUE || now - member.probedAt >= URGENT_GAP)) {
             probe(member);
         }
     }
 
     private void probe(Member member) {
-        member.probing = true;
-        member.probedAt = now;
-        actions.add(new Probe(member.id));
+        if (settings.limits().probes()) {
+            member.probing = true;
+            member.probedAt = now;
+            actions.add(new Probe(member.id));
+        }
     }
 }
--- a/src/test/java/ledgewall/BrainTest.java
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -91,8 +91,41 @@
         bench.ask(WRITE);
         bench.now += SECOND;
         assertEquals(List.of(), sends(bench.outcome(1, 0, "p", Result.MISSED, Role.REPLICA)));
-        bench.echo("a", Role.PRIMARY, bench.now);
-        assertEquals(List.of("a"), sends(bench.pass(20 * MS)));
+        assertEquals(List.of("a"), sends(bench.echo("a", Role.PRIMARY, bench.now)));
+    }
+
+    // Overload
+
+    @Test
+    void noMoreAttemptsAreOutThanTheWindowsOfTheMembersLet() {
+        Bench bench = new Bench(settings()).ready();
+        for (int i = 0; i < 200; i++) {
+            bench.ask(ANY);
+        }
+        int sent = sends(bench.log).size();
+        assertTrue(sent >= 6 && sent <= 20, "sent " + sent);
+        assertTrue(count(bench.pass(450 * MS), Refuse.class) > 100);
+    }
+
+    @Test
+    void aMemberThatTurnsWorkAwayAsFullIsNotAskedAgainByTheSameRequestAtOnce() {
+        Bench bench = new Bench(settings()).ready();
+        String first = sends(bench.ask(ANY)).get(0);
+        String second = sends(bench.outcome(1, 0, first, Result.REJECTED, Role.UNKNOWN)).get(0);
+        assertNotEquals(first, second);
+    }
+
+    @Test
+    void aSilentPrimaryIsGivenOneTrialWriteAfterAWhile() {
+        Bench bench = new Bench(settings()).ready();
+        bench.feed(bench.arrival(WRITE, SECOND));
+        bench.pass(999 * MS);
+        bench.outcome(1, 0, "p", Result.TIMED_OUT, Role.UNKNOWN);
+        int before = sends(bench.log).size();
+        bench.ask(WRITE);
+        bench.ask(WRITE);
+        bench.pass(600 * MS);
+        assertEquals(before + 1, sends(bench.log).size());
     }
 
     // Rule 1: one final answer, in time
