--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -60,6 +60,8 @@
     private static final double FADE = 3 * SECOND;
     /** Part of the time left that a fresh router may hold a request while its first probes are out. */
     private static final double FRESH_HOLD = 0.1;
+    /** Part of its aim that a read may be held: long enough for a burst to pass. */
+    private static final double HOLD_PART = 0.15;
     /** A listed role is taken for evidence this old: about as late as lists are. */
     private static final long LIST_AGE = 5 * SECOND;
     /** Part of a cold member's budget that is spent; the rest is for chance in the work of requests. */
@@ -188,7 +190,7 @@
             accept(arrival);
         } else if (event instanceof Outcome outcome) {
             learnOutcome(outcome);
-        } else if (event instanceof ProbeResult echo) {
+        } else if (event instanceof ProbeResult echo && members.containsKey(echo.member())) {
             learnProbe(echo);
         } else if (event instanceof AnswerBegun begun && requests.containsKey(begun.request())) {
             requests.get(begun.request()).begun = true;
@@ -283,9 +285,6 @@
 
     private void learnProbe(ProbeResult echo) {
         Member member = members.get(echo.member());
-        if (member == null) {
-            return;
-        }
         member.probing = false;
         if (echo.result() != Result.OK) {
             member.down |= echo.result() != Result.REJECTED;
@@ -596,11 +595,14 @@
 
     // ---- Holding and ending
 
-    /** A hold is bounded: reads as long as an answer can still be in time, writes as long as it has worth. */
+    /**
+     * Holds are bounded: writes as long as they have worth, reads over a short burst only, for a client that
+     * is refused soon can ask again in time; after a late refusal it asks for work that is worth nothing.
+     */
     private boolean worthHolding(Request request) {
-        double usual = classMean[request.arrival.requestClass()];
-        boolean inTime = now + usual < request.at + request.kind.aim();
-        boolean worth = inTime || request.kind.need() == Need.WRITE && now + usual < request.lastSend;
+        boolean worth = request.kind.need() == Need.WRITE
+            ? now + classMean[request.arrival.requestClass()] < request.lastSend
+            : now < request.at + HOLD_PART * request.kind.aim();
         return worth && request.attempts.size() < settings.limits().maxAttempts()
             && (request.mayHaveRun == null || request.kind.effect() == Effect.IDEMPOTENT);
     }
