--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -61,7 +61,7 @@
     /** Part of the time left that a fresh router may hold a request while its first probes are out. */
     private static final double FRESH_HOLD = 0.1;
     /** Part of its aim that a read may be held: long enough for a burst to pass. */
-    private static final double HOLD_PART = 0.15;
+    private static final double HOLD_PART = 0.05;
     /** A listed role is taken for evidence this old: about as late as lists are. */
     private static final long LIST_AGE = 5 * SECOND;
     /** Part of a cold member's budget that is spent; the rest is for chance in the work of requests. */
