Make windows shares of all routers, ask for a primary rarely, doubt rarely

Cause: with 7 to 12 routers fixed windows let too much through before the first late answer; reads tried dead members when healthy ones were full; held writes asked every member in turn, which pushed over members just returned.

Should also hold against router counts that differ from the settings only while they are close; could hurt a member that was only cut off (a small share for five seconds).

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -44,16 +44,17 @@
     /** A member's answers should take this part of their aims: the rest is for the long tail of work. */
     private static final double STRAIN_AIM = 0.5;
     private static final double FIRST_STRAIN = 0.25;
-    /** Windows of own attempts: where they start (cold or unknown), their bounds, and the step down. */
-    private static final double FIRST_WINDOW = 6;
-    private static final double COLD_WINDOW = 2;
-    private static final double MOST_WINDOW = 64;
+    /** Windows of attempts at a member, of all routers together: at first, when cold, at least, a step up. */
+    private static final double FIRST_WINDOW = 12;
+    private static final double COLD_WINDOW = 4;
+    private static final double LEAST_WINDOW = 1;
+    private static final double STEP_UP = 2;
     private static final double STEP_DOWN = 0.85;
     /** A window is lowered once in this time, about what an answer takes to show the last step. */
     private static final long STEP_GAP = 100 * MS;
     /** Reads get this part of the primary's window: its writes can go nowhere else. */
     private static final double PRIMARY_FOR_READS = 0.5;
-    /** Weight of a sample in running means: of a member (fast, to show trouble), of a class (steady). */
+    /** Weight of a sample in running means, of a member (fast, to show trouble) and of a class. */
     private static final double MEMBER_WEIGHT = 0.1;
     private static final double CLASS_WEIGHT = 0.02;
     /** Without samples, what is known of a member's slowness fades over this time. */
@@ -70,7 +71,6 @@
     private static final double LEAST_BUDGET = 2;
     /** First wait before asking for the list again after a failure; the rule gives the longest. */
     private static final long ASK_AGAIN = SECOND;
-    private static final long HEARTBEAT = 1;
 
     /** What is known of one member: what the list says, newest evidence, health, own attempts. */
     private static final class Member {
@@ -78,17 +78,17 @@
         final Group group;
         int zone, kind;
         Phase phase;
-        long born, coldSince;
+        long born, returnedAt = Long.MIN_VALUE / 2;
         Role role = Role.UNKNOWN;
         long roleAt = Long.MIN_VALUE, position = Long.MIN_VALUE, positionAt = Long.MIN_VALUE;
-        boolean probing, down;
+        boolean probing, down, refused;
         double ping;
         int pingsLeft;
         long probedAt = Long.MIN_VALUE, roundAt = Long.MIN_VALUE;
         long suspectSince = NONE, trialAt = Long.MIN_VALUE;
-        long answeredAt = Long.MIN_VALUE, sampledAt;
-        double strain = FIRST_STRAIN, servedRate, window = FIRST_WINDOW;
-        long loweredAt = Long.MIN_VALUE;
+        long answeredAt = Long.MIN_VALUE, sampledAt, sentAt;
+        double strain = FIRST_STRAIN, servedRate, window;
+        long stepDue = Long.MIN_VALUE;
         final List<Attempt> open = new ArrayList<>();
         final ArrayDeque<Spent> spent = new ArrayDeque<>();
 
@@ -104,7 +104,7 @@
         final List<Member> members = new ArrayList<>();
         final List<Request> held = new ArrayList<>();
         Member primary;
-        long primaryAt = Long.MIN_VALUE;
+        long primaryAt = Long.MIN_VALUE, askDue = Long.MIN_VALUE;
     }
 
     /** A request until its last attempt is accounted for. */
@@ -134,8 +134,7 @@
 
     private final Settings settings;
     private final SplittableRandom random;
-    private final long beat;
-    private final long tightestBound;
+    private final long beat, tightestBound;
     private final double[] classMean;
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<Long, Group> groups = new LinkedHashMap<>();
@@ -144,11 +143,8 @@
     private final Map<Long, Long> sessionWrites = new HashMap<>();
     private List<Request> pending = new ArrayList<>();
     private List<Action> actions = new ArrayList<>();
-    private long now;
-    private long startedAt = Long.MIN_VALUE;
-    private long nextBeat = Long.MIN_VALUE;
-    private long askAt = Long.MAX_VALUE;
-    private long askWait = ASK_AGAIN;
+    private long now, startedAt = Long.MIN_VALUE, nextBeat = Long.MIN_VALUE;
+    private long askAt = Long.MAX_VALUE, askWait = ASK_AGAIN;
     private double usualStrain = FIRST_STRAIN;
 
     public Brain(Settings settings, long seed) {
@@ -172,7 +168,7 @@
         if (now >= nextBeat) {
             beat();
             nextBeat = now + beat;
-            actions.add(new SetTimer(nextBeat, HEARTBEAT));
+            actions.add(new SetTimer(nextBeat, 0));
         }
         groups.values().forEach(this::resume);
         List<Request> ready = pending;
@@ -226,10 +222,8 @@
             askWait = Math.min(2 * askWait, settings.rules().askWithin() / 2);
             return;
         }
-        if (list.kind() != ListKind.REMEMBERED) {
-            askWait = ASK_AGAIN;
-            askAt = Long.MAX_VALUE;
-        }
+        askWait = ASK_AGAIN;
+        askAt = list.kind() == ListKind.REMEMBERED ? askAt : Long.MAX_VALUE;
         boolean lenient = settings.rules().drainBindsAlone();
         if (list.kind() != ListKind.CHANGES) {
             Set<String> listed = list.listings().stream().map(Listing::member).collect(Collectors.toSet());
@@ -242,10 +236,9 @@
             member.kind = line.kind();
             if (line.born() > member.born) {
                 member.born = line.born();
-                member.coldSince = Math.max(member.coldSince, line.born());
                 member.down = false;
                 member.suspectSince = NONE;
-                member.window = COLD_WINDOW;
+                member.window = COLD_WINDOW / settings.routers();
             }
             if (line.phase() != Phase.GONE || !lenient) {
                 member.phase = line.phase();
@@ -260,6 +253,7 @@
     private Member join(Listing line) {
         Member member = new Member(line.member(), groups.computeIfAbsent(line.group(), id -> new Group()));
         member.sampledAt = now;
+        member.window = FIRST_WINDOW / settings.routers();
         member.group.members.add(member);
         return member;
     }
@@ -287,11 +281,16 @@
         Member member = members.get(echo.member());
         member.probing = false;
         if (echo.result() != Result.OK) {
-            member.down |= echo.result() != Result.REJECTED;
+            if (echo.result() != Result.REJECTED) {
+                lose(member, echo.result() == Result.NOT_CONNECTED);
+            }
             return;
         }
-        member.window = member.down ? COLD_WINDOW : member.window;
-        member.down = false;
+        if (member.down) {
+            member.window = COLD_WINDOW / settings.routers();
+            member.returnedAt = member.refused ? now : member.returnedAt;
+            member.down = member.refused = false;
+        }
         member.ping += (echo.elapsed() - member.ping) / (member.ping == 0 ? 1 : PINGS);
         if (--member.pingsLeft > 0) {
             probe(member);
@@ -334,38 +333,36 @@
     private void learnHealth(Member member, Attempt attempt, Outcome outcome) {
         int index = attempt.request().arrival.requestClass();
         double strain = outcome.elapsed() / (double) attempt.request().kind.aim();
+        boolean answered = outcome.result() == Result.OK || outcome.result() == Result.MISSED
+            || outcome.result() == Result.REJECTED || outcome.result() == Result.ERROR;
+        member.answeredAt = answered ? now : member.answeredAt;
+        member.suspectSince = answered ? NONE : member.suspectSince;
         switch (outcome.result()) {
             case OK -> {
-                answered(member);
                 classMean[index] += CLASS_WEIGHT * (outcome.elapsed() - classMean[index]);
                 sample(member, strain);
                 member.servedRate += 1;
                 if (strain(member) > STRAIN_AIM) {
                     narrow(member);
                 } else if (member.open.size() + 1 >= member.window / 2) {
-                    member.window = Math.min(MOST_WINDOW, member.window + 1 / member.window);
+                    member.window += STEP_UP / settings.routers() / Math.max(1, member.window);
                 }
             }
-            case MISSED, ERROR -> answered(member);
-            case REJECTED -> {
-                answered(member);
-                narrow(member);
-            }
+            case REJECTED -> narrow(member);
             case TIMED_OUT, CANCELLED -> {
                 sample(member, Math.max(strain, strain(member)));
                 narrow(member);
             }
-            case NOT_CONNECTED, RESET -> {
-                member.down = true;
-                urgent(member);
-            }
-            case NEVER_SENT -> { }
+            case NOT_CONNECTED -> lose(member, true);
+            case RESET -> urgent(member); // one broken connection is no dead member: a probe tells
+            default -> { }
         }
     }
 
-    private void answered(Member member) {
-        member.answeredAt = now;
-        member.suspectSince = NONE;
+    private void lose(Member member, boolean refused) {
+        member.down = true;
+        member.refused |= refused;
+        urgent(member);
     }
 
     private void sample(Member member, double strain) {
@@ -380,9 +377,9 @@
     }
 
     private void narrow(Member member) {
-        if (member.loweredAt == Long.MIN_VALUE || now - member.loweredAt >= STEP_GAP) {
-            member.loweredAt = now;
-            member.window = Math.max(1, member.window * STEP_DOWN);
+        if (now >= member.stepDue) {
+            member.stepDue = now + STEP_GAP;
+            member.window = Math.max(LEAST_WINDOW / settings.routers(), member.window * STEP_DOWN);
         }
     }
 
@@ -409,16 +406,21 @@
     }
 
     private Member pickForWrite(Request request) {
-        Member primary = request.group.primary;
+        Group group = request.group;
+        Member primary = group.primary;
         if (primary != null) {
-            return healthy(primary) && room(primary, 1) && permitted(request, primary) ? primary : null;
+            return healthy(primary) && room(request, primary, 1) && permitted(request, primary)
+                ? primary : null;
         }
+        // Only an answer can tell who is primary: now and then a held write asks, to be turned away if wrong.
         boolean probesTell = settings.data().probesTellRole() && settings.limits().probes();
-        if (probesTell || request.attempts.size() >= settings.limits().maxAttempts() - 1) {
+        int spare = settings.limits().maxAttempts() - request.attempts.size();
+        if (probesTell || now < group.askDue || spare <= 1) {
             return null;
         }
-        // Only an answer can tell who is primary: a held write asks, a wrong member leaves it untouched.
-        return candidates(request, m -> healthy(m) && room(m, 1)).stream().findFirst().orElse(null);
+        group.askDue = now + URGENT_GAP;
+        return candidates(request, m -> healthy(m) && room(request, m, 1)).stream()
+            .min(Comparator.comparingLong(m -> m.sentAt)).orElse(null);
     }
 
     private Member pickForRead(Request request) {
@@ -428,17 +430,14 @@
             return null; // a fresh router waits for its first probes
         }
         List<Member> replicas = candidates(request,
-            m -> m != group.primary && healthy(m) && room(m, 1) && eligible(request, m));
+            m -> m != group.primary && healthy(m) && room(request, m, 1) && eligible(request, m));
         if (!replicas.isEmpty()) {
             return drawNearFastest(request, replicas);
         }
-        List<Member> primary = candidates(request,
-            m -> m == group.primary && healthy(m) && room(m, PRIMARY_FOR_READS));
-        if (!primary.isEmpty()) {
-            return primary.get(0);
-        }
-        // Nobody looks well: doubt the judgement rather than the members.
-        return candidates(request, m -> !healthy(m) && eligible(request, m) && now >= m.trialAt + TRIAL_GAP)
+        // Then the primary; where nobody looks well, doubt the judgement rather than the members.
+        boolean doubt = group.members.stream().noneMatch(m -> m.phase == Phase.SERVING && healthy(m));
+        return candidates(request, doubt ? m -> eligible(request, m) && now >= m.trialAt + TRIAL_GAP
+            : m -> m == group.primary && healthy(m) && room(request, m, PRIMARY_FOR_READS))
             .stream().findFirst().orElse(null);
     }
 
@@ -459,10 +458,14 @@
 
     /**
      * Guards against overload, of one member or of all, known only by its answers: no more own attempts are
-     * out than leave answers well inside their aims. Harm: a burst waits for idle members' windows to widen.
+     * out than leave answers well inside their aims. A window below one, where many routers share a member,
+     * spaces sends. Harm: a burst waits for idle members' windows to widen.
      */
-    private boolean room(Member member, double part) {
-        return member.open.size() < Math.max(1, member.window * part);
+    private boolean room(Request request, Member member, double part) {
+        double window = member.window * part;
+        double usual = strain(member) * request.kind.aim();
+        return member.open.isEmpty() ? window >= 1 || now - member.sentAt >= usual / window
+            : member.open.size() < window;
     }
 
     private boolean healthy(Member member) {
@@ -474,8 +477,7 @@
     private boolean eligible(Request request, Member member) {
         boolean refuses = settings.data().behind() != Behind.ANSWERS;
         return switch (request.kind.need()) {
-            case ANY -> true;
-            case WRITE -> member == request.group.primary;
+            case ANY, WRITE -> true;
             case FRESH, SESSION -> member.position >= request.needed || member == request.group.primary;
             case BOUNDED -> {
                 long bound = request.kind.stalenessBound();
@@ -489,19 +491,12 @@
     // ---- The gate: every send passes here
 
     private boolean permitted(Request request, Member member) {
-        if (request.over || request.out != null || request.begun || now >= request.lastSend
-                || request.attempts.size() >= settings.limits().maxAttempts()
-                || member.group != request.group || member.phase != Phase.SERVING) {
-            return false;
-        }
-        if (request.mayHaveRun != null && !repeatable(request, member)) {
-            return false;
-        }
-        if (settings.data().behind() == Behind.ANSWERS && request.kind.need() != Need.WRITE
-                && !eligible(request, member)) {
-            return false;
-        }
-        return withinBudget(member, work(request));
+        boolean open = !request.over && request.out == null && !request.begun && now < request.lastSend
+            && request.attempts.size() < settings.limits().maxAttempts();
+        boolean listed = member.group == request.group && member.phase == Phase.SERVING;
+        boolean proven = settings.data().behind() != Behind.ANSWERS || eligible(request, member);
+        return open && listed && proven && (request.mayHaveRun == null || repeatable(request, member))
+            && withinBudget(member, work(request));
     }
 
     private boolean repeatable(Request request, Member member) {
@@ -529,11 +524,10 @@
             member.spent.clear();
             return true;
         }
-        long age = Math.max(0, now - member.coldSince);
         while (!member.spent.isEmpty() && member.spent.peekFirst().at() <= now - rules.overloadWindow()) {
             member.spent.removeFirst();
         }
-        double present = rules.coldShare() + (1 - rules.coldShare()) * age / rules.warmAfter();
+        double present = rules.coldShare() + (1 - rules.coldShare()) * age(member) / rules.warmAfter();
         double window = rules.overloadWindow() / (double) SECOND;
         double budget = BUDGET_PART * rules.overloadFactor() * present * window
             * peakRate.getOrDefault(member.kind, 0.0) / settings.routers();
@@ -541,8 +535,18 @@
         return used + work <= Math.max(budget, LEAST_BUDGET);
     }
 
+    /**
+     * Time since a member started: as listed or, for as long as lists are late, guessed from its return after
+     * refused connections. Harm: a member that was only cut off gets little work for that time.
+     */
+    private long age(Member member) {
+        long back = now - member.returnedAt;
+        long listed = member.born == 0 ? Long.MAX_VALUE : now - member.born;
+        return Math.max(0, back < LIST_AGE ? Math.min(back, listed) : listed);
+    }
+
     private boolean cold(Member member) {
-        return member.coldSince != 0 && now - member.coldSince < settings.rules().warmAfter();
+        return age(member) < settings.rules().warmAfter();
     }
 
     private boolean send(Request request, Member member) {
@@ -556,6 +560,7 @@
         request.recalled = false;
         request.unanswered++;
         member.open.add(attempt);
+        member.sentAt = now;
         member.spent.add(new Spent(now, work(request)));
         if (member.suspectSince != NONE || member.down) {
             member.trialAt = now;
@@ -580,7 +585,6 @@
                 }
                 pending.add(request);
             }
-            case NEVER_SENT -> end(request);
             case ERROR, TIMED_OUT, RESET, CANCELLED -> {
                 request.mayHaveRun = request.mayHaveRun == null ? attempt : request.mayHaveRun;
                 if (request.kind.effect() == Effect.AT_MOST_ONCE) {
@@ -589,7 +593,7 @@
                     pending.add(request);
                 }
             }
-            case OK -> end(request);
+            case OK, NEVER_SENT -> end(request);
         }
     }
 
@@ -600,10 +604,9 @@
      * is refused soon can ask again in time; after a late refusal it asks for work that is worth nothing.
      */
     private boolean worthHolding(Request request) {
-        boolean worth = request.kind.need() == Need.WRITE
-            ? now + classMean[request.arrival.requestClass()] < request.lastSend
-            : now < request.at + HOLD_PART * request.kind.aim();
-        return worth && request.attempts.size() < settings.limits().maxAttempts()
+        long until = request.kind.need() != Need.WRITE ? request.at + (long) (HOLD_PART * request.kind.aim())
+            : request.lastSend - (long) classMean[request.arrival.requestClass()];
+        return now < until && request.attempts.size() < settings.limits().maxAttempts()
             && (request.mayHaveRun == null || request.kind.effect() == Effect.IDEMPOTENT);
     }
 
@@ -618,9 +621,6 @@
 
     /** The one place that ends a request: refuses where nothing can have run, else fails. */
     private void end(Request request) {
-        if (request.over) {
-            return;
-        }
         boolean harmless = request.kind.effect() == Effect.IDEMPOTENT
             || request.mayHaveRun == null && request.out == null
             || request.kind.effect() == Effect.DEDUPLICATED && request.kind.repeatScope() == RepeatScope.ALL;
@@ -661,10 +661,8 @@
             if (member.phase == Phase.SERVING) {
                 watchSilence(member);
                 probeWhenDue(member);
-            }
-            if (!cold(member)) { // the sum decays over one second, so it reads as a rate
-                peakRate.merge(member.kind, member.servedRate, Math::max);
-            }
+            } // the served sum decays over one second, so it reads as a rate
+            peakRate.merge(member.kind, cold(member) ? 0 : member.servedRate, Math::max);
             member.servedRate *= Math.exp(-beat / (double) SECOND);
         }
     }
--- a/src/test/java/ledgewall/BrainTest.java
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -14,7 +14,9 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import ledgewall.RoutingPolicy.*;
 import org.junit.jupiter.api.Test;
 
@@ -251,6 +253,74 @@
         assertNotEquals(silent, next);
     }
 
+    @Test
+    void aMemberThatReturnsAfterRefusedConnectionsGetsAColdMembersShareUntilListsCatchUp() {
+        Bench bench = new Bench(settings());
+        bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
+        bench.echo("a", Role.REPLICA, bench.now);
+        bench.feed(new ProbeResult("a", Result.NOT_CONNECTED, MS, null));
+        bench.now += SECOND;
+        bench.echo("a", Role.REPLICA, bench.now);
+        int sent = 0;
+        for (int i = 0; i < 30; i++) {
+            sent += sends(bench.ask(ANY)).size();
+            bench.outcome(bench.lastRequest(), 0, "a", Result.OK, Role.REPLICA);
+        }
+        assertTrue(sent >= 1 && sent <= 2, "sent " + sent);
+        bench.now += 6 * SECOND;
+        bench.echo("a", Role.REPLICA, bench.now);
+        assertEquals(1, sends(bench.ask(ANY)).size());
+        bench.outcome(bench.lastRequest(), 0, "a", Result.OK, Role.REPLICA);
+        assertEquals(1, sends(bench.ask(ANY)).size());
+    }
+
+    @Test
+    void oneResetConnectionTakesNoPlace() {
+        Bench bench = new Bench(settings()).ready();
+        String first = sends(bench.ask(ANY)).get(0);
+        bench.outcome(1, 0, first, Result.RESET, Role.UNKNOWN);
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 40; i++) {
+            String member = sends(bench.ask(ANY)).get(0);
+            used.add(member);
+            bench.outcome(bench.lastRequest(), 0, member, Result.OK, Role.REPLICA);
+        }
+        assertTrue(used.contains(first));
+    }
+
+    @Test
+    void whereOnlyAnswersTellRolesHeldWritesAskOneMemberNowAndThen() {
+        Settings base = settings();
+        Data data = new Data(Behind.REFUSES, 0, true, true, ListedRole.LATE, false, false);
+        Bench bench = new Bench(new Settings(2, 0, 0, 5 * MS, false, base.classes(), List.of(), 1, base.limits(),
+            data, base.rules()));
+        bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"), line("b"))));
+        bench.feed(new ProbeResult("a", Result.OK, MS, null), new ProbeResult("b", Result.OK, MS, null));
+        for (int i = 0; i < 20; i++) {
+            bench.ask(WRITE);
+        }
+        assertEquals(1, sends(bench.log).size());
+        bench.outcome(1, 0, sends(bench.log).get(0), Result.MISSED, Role.REPLICA);
+        bench.pass(300 * MS);
+        assertEquals(2, sends(bench.log).size());
+        assertNotEquals(sends(bench.log).get(0), sends(bench.log).get(1));
+    }
+
+    @Test
+    void theMoreRoutersThereAreTheSmallerIsEachOnesWindow() {
+        int[] sent = new int[2];
+        for (int i = 0; i < 2; i++) {
+            Settings base = settings();
+            Bench bench = new Bench(new Settings(i == 0 ? 2 : 12, 0, 0, 5 * MS, false, base.classes(), List.of(), 1,
+                base.limits(), base.data(), base.rules())).ready();
+            for (int j = 0; j < 50; j++) {
+                bench.ask(ANY);
+            }
+            sent[i] = sends(bench.log).size();
+        }
+        assertTrue(sent[1] > 0 && 3 * sent[1] < sent[0], sent[0] + " and " + sent[1]);
+    }
+
     @Test
     void theSameEventsBringTheSameActions() {
         Bench one = new Bench(settings()).ready();
