Count a retry's aim from when its client first asked

A retry given another time than first tries has what is left of the whole deadline. Acts only where clients mark retries; could hurt where a retry's time is drawn at random.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -72,7 +72,7 @@
     /** First wait before asking for the list again after a failure; the rule gives the longest. */
     private static final long ASK_AGAIN = SECOND;
 
-    /** What is known of one member: what the list says, newest evidence, health, own attempts. */
+    /** What is known of one member: listing, newest evidence, health, own attempts. */
     private static final class Member {
         final String id;
         final Group group;
@@ -86,7 +86,7 @@
         int pingsLeft;
         long probedAt = Long.MIN_VALUE, roundAt = Long.MIN_VALUE;
         long suspectSince = NONE, trialAt = Long.MIN_VALUE;
-        long answeredAt = Long.MIN_VALUE, sampledAt, sentAt;
+        long answeredAt = Long.MIN_VALUE, sampledAt = Long.MIN_VALUE / 2, sentAt = Long.MIN_VALUE / 2;
         double strain = FIRST_STRAIN, servedRate, window;
         long stepDue = Long.MIN_VALUE;
         final List<Attempt> open = new ArrayList<>();
@@ -136,12 +136,13 @@
     private final SplittableRandom random;
     private final long beat, tightestBound;
     private final double[] classMean;
+    private final long[] patience;
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<Long, Group> groups = new LinkedHashMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
     private final Map<Integer, Double> peakRate = new HashMap<>();
     private final Map<Long, Long> sessionWrites = new HashMap<>();
-    private List<Request> pending = new ArrayList<>();
+    private final List<Request> pending = new ArrayList<>();
     private List<Action> actions = new ArrayList<>();
     private long now, startedAt = Long.MIN_VALUE, nextBeat = Long.MIN_VALUE;
     private long askAt = Long.MAX_VALUE, askWait = ASK_AGAIN;
@@ -153,6 +154,7 @@
         this.beat = Math.max(2 * settings.tick(), 10 * MS);
         this.tightestBound = settings.classes().stream().filter(c -> c.need() == Need.BOUNDED)
             .mapToLong(RequestClass::stalenessBound).min().orElse(Long.MAX_VALUE);
+        this.patience = settings.classes().stream().mapToLong(RequestClass::deadline).toArray();
         this.classMean = settings.classes().stream().mapToDouble(c -> c.aim() / 4.0).toArray();
     }
 
@@ -171,9 +173,8 @@
             actions.add(new SetTimer(nextBeat, 0));
         }
         groups.values().forEach(this::resume);
-        List<Request> ready = pending;
-        pending = new ArrayList<>();
-        ready.forEach(this::route);
+        List.copyOf(pending).forEach(this::route);
+        pending.clear();
         return actions;
     }
 
@@ -201,16 +202,19 @@
             return;
         }
         Group group = groups.computeIfAbsent(arrival.group(), id -> new Group());
-        RequestClass kind = settings.classes().get(arrival.requestClass());
+        int index = arrival.requestClass();
+        RequestClass kind = settings.classes().get(index);
         long end = Math.max(now, now + arrival.timeLeft() - 2 * beat);
-        // Past its aim some work is worth nothing: no attempt starts then, but one that runs may still
-        // answer, for an end here would only make the client ask for the same work again.
-        long lastSend = kind.lateWorth() > 0 ? end : Math.min(end, now + kind.aim() - beat);
-        Request request = new Request(arrival, kind, group, now, end, lastSend);
-        boolean carried = settings.data().tokensCarried();
-        request.needed = kind.need() == Need.FRESH ? now
-            : carried && arrival.sinceWrite() != NONE ? now - arrival.sinceWrite()
-            : carried ? Long.MIN_VALUE : sessionWrites.getOrDefault(arrival.session(), Long.MIN_VALUE);
+        // A retry with another time left than first tries has the rest of the whole deadline: that tells when
+        // its client first asked. Past its aim some work is worth nothing: no attempt starts then, but one that
+        // runs may still answer, for an end here would only make the client ask for the same work again.
+        patience[index] = arrival.retry() ? patience[index] : arrival.timeLeft();
+        boolean told = arrival.retry() && Math.abs(arrival.timeLeft() - patience[index]) > beat;
+        long asked = now - (told ? Math.max(0, kind.deadline() - arrival.timeLeft()) : 0);
+        long lastSend = kind.lateWorth() > 0 ? end : Math.min(end, asked + kind.aim() - beat);
+        Request request = new Request(arrival, kind, group, asked, end, lastSend);
+        request.needed = kind.need() == Need.FRESH ? now : arrival.sinceWrite() != NONE
+            ? now - arrival.sinceWrite() : sessionWrites.getOrDefault(arrival.session(), Long.MIN_VALUE);
         requests.put(arrival.request(), request);
         pending.add(request);
     }
@@ -252,7 +256,6 @@
 
     private Member join(Listing line) {
         Member member = new Member(line.member(), groups.computeIfAbsent(line.group(), id -> new Group()));
-        member.sampledAt = now;
         member.window = FIRST_WINDOW / settings.routers();
         member.group.members.add(member);
         return member;
@@ -600,8 +603,8 @@
     // ---- Holding and ending
 
     /**
-     * Holds are bounded: writes as long as they have worth, reads over a short burst only, for a client that
-     * is refused soon can ask again in time; after a late refusal it asks for work that is worth nothing.
+     * Holds are bounded: writes as long as they have worth, reads over a short burst only: a client that is
+     * refused soon can ask again in time.
      */
     private boolean worthHolding(Request request) {
         long until = request.kind.need() != Need.WRITE ? request.at + (long) (HOLD_PART * request.kind.aim())
--- a/src/test/java/ledgewall/BrainTest.java
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -321,6 +321,16 @@
         assertTrue(sent[1] > 0 && 3 * sent[1] < sent[0], sent[0] + " and " + sent[1]);
     }
 
+    @Test
+    void aRetryWhoseClientFirstAskedTooLongAgoIsRefusedAtOnce() {
+        Bench bench = new Bench(settings()).ready();
+        bench.feed(new Arrival(50, BOUNDED, 0, 1, 5, 400 * MS, RoutingPolicy.NONE, false));
+        Arrival fresh = new Arrival(51, BOUNDED, 0, 1, 5, 400 * MS, RoutingPolicy.NONE, true);
+        assertEquals(1, count(bench.feed(fresh), Send.class));
+        Arrival old = new Arrival(52, BOUNDED, 0, 1, 5, 350 * MS, RoutingPolicy.NONE, true);
+        assertEquals(List.of(new Refuse(52, 0)), bench.feed(old));
+    }
+
     @Test
     void theSameEventsBringTheSameActions() {
         Bench one = new Bench(settings()).ready();
