--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -42,7 +42,7 @@
     /** A member under suspicion is offered one read in this time. */
     private static final long TRIAL_GAP = 500 * MS;
     /** A member's answers should take this part of their aims: the rest is for the long tail of work. */
-    private static final double STRAIN_AIM = 0.5;
+    private static final double STRAIN_AIM = 0.42;
     private static final double FIRST_STRAIN = 0.25;
     /** Windows of attempts at a member, of all routers together: at first, when cold, at least, a step up. */
     private static final double FIRST_WINDOW = 12;
@@ -206,8 +206,8 @@
         RequestClass kind = settings.classes().get(index);
         long end = Math.max(now, now + arrival.timeLeft() - 2 * beat);
         // A retry with another time left than first tries has the rest of the whole deadline: that tells when
-        // its client first asked. Past its aim some work is worth nothing: no attempt starts then, but one that
-        // runs may still answer, for an end here would only make the client ask for the same work again.
+        // its client first asked. Past its aim some work is worth nothing: no attempt starts then, but one
+        // that runs may still answer, for an end here would only make the client ask for that work again.
         patience[index] = arrival.retry() ? patience[index] : arrival.timeLeft();
         boolean told = arrival.retry() && Math.abs(arrival.timeLeft() - patience[index]) > beat;
         long asked = now - (told ? Math.max(0, kind.deadline() - arrival.timeLeft()) : 0);
