Take a cold member's budget from the rate a warm one serves this router

Cause: the own rate is already a router's part, dividing it by the routers again left a cold primary a fraction of what it can do.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -65,8 +65,9 @@
     private static final double HOLD_PART = 0.05;
     /** A listed role is taken for evidence this old: about as late as lists are. */
     private static final long LIST_AGE = 5 * SECOND;
-    /** Part of a cold member's budget that is spent; the rest is for chance in the work of requests. */
-    private static final double BUDGET_PART = 0.7;
+    /** Part of a cold member's budget that is spent (the rest is for chance), and the time of served rates. */
+    private static final double BUDGET_PART = 0.5;
+    private static final double RATE_TIME = 4 * SECOND;
     /** Sends in a window that a cold member gets even when nothing is known of its size. */
     private static final double LEAST_BUDGET = 2;
     /** First wait before asking for the list again after a failure; the rule gives the longest. */
@@ -313,9 +314,9 @@
             return;
         }
         request.unanswered--;
+        request.out = null;
         Member member = attempt.member();
         member.open.remove(attempt);
-        request.out = null;
         learnHealth(member, attempt, outcome);
         if (outcome.role() != Role.UNKNOWN) {
             learnRole(member, outcome.role(), now);
@@ -344,7 +345,7 @@
             case OK -> {
                 classMean[index] += CLASS_WEIGHT * (outcome.elapsed() - classMean[index]);
                 sample(member, strain);
-                member.servedRate += 1;
+                member.servedRate += SECOND / RATE_TIME;
                 if (strain(member) > STRAIN_AIM) {
                     narrow(member);
                 } else if (member.open.size() + 1 >= member.window / 2) {
@@ -393,11 +394,10 @@
             return;
         }
         Member member = request.kind.need() == Need.WRITE ? pickForWrite(request) : pickForRead(request);
-        if (member != null && send(request, member)) {
-            return;
-        } else if (worthHolding(request)) {
+        boolean sent = member != null && send(request, member);
+        if (!sent && worthHolding(request)) {
             request.group.held.add(request);
-        } else {
+        } else if (!sent) {
             end(request);
         }
     }
@@ -518,8 +518,8 @@
     }
 
     /**
-     * Cold members: this router's part of what one may take in any window, from the best rate that it has
-     * seen a warm member of that kind serve. That is never above the true one, nor is the routers' sum.
+     * Cold members: this router's part of what one may take in any window, from the best rate at which a warm
+     * member of that kind has served this router. Such rates, over all routers, add up to what one can do.
      */
     private boolean withinBudget(Member member, double work) {
         Rules rules = settings.rules();
@@ -533,7 +533,7 @@
         double present = rules.coldShare() + (1 - rules.coldShare()) * age(member) / rules.warmAfter();
         double window = rules.overloadWindow() / (double) SECOND;
         double budget = BUDGET_PART * rules.overloadFactor() * present * window
-            * peakRate.getOrDefault(member.kind, 0.0) / settings.routers();
+            * peakRate.getOrDefault(member.kind, 0.0);
         double used = member.spent.stream().mapToDouble(Spent::work).sum();
         return used + work <= Math.max(budget, LEAST_BUDGET);
     }
@@ -664,9 +664,9 @@
             if (member.phase == Phase.SERVING) {
                 watchSilence(member);
                 probeWhenDue(member);
-            } // the served sum decays over one second, so it reads as a rate
+            }
             peakRate.merge(member.kind, cold(member) ? 0 : member.servedRate, Math::max);
-            member.servedRate *= Math.exp(-beat / (double) SECOND);
+            member.servedRate *= Math.exp(-beat / RATE_TIME);
         }
     }
 
