--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -65,7 +65,7 @@
     private static final double HOLD_PART = 0.05;
     /** A listed role is taken for evidence this old: about as late as lists are. */
     private static final long LIST_AGE = 5 * SECOND;
-    /** Part of a cold member's budget that is spent (the rest is for chance), and the time of served rates. */
+    /** Part of a cold member's budget that is spent (the rest is for chance); the time of served rates. */
     private static final double BUDGET_PART = 0.5;
     private static final double RATE_TIME = 4 * SECOND;
     /** Sends in a window that a cold member gets even when nothing is known of its size. */
