Cap what one answer adds to a member's strain at a missed aim

Should also hold against single very long work; could hurt where a member is slow by far more than its aims, as its strain shows later.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -336,7 +336,8 @@
     /** Health from answers: how long a member takes against what its class takes everywhere. */
     private void learnHealth(Member member, Attempt attempt, Outcome outcome) {
         int index = attempt.request().arrival.requestClass();
-        double strain = outcome.elapsed() / (double) attempt.request().kind.aim();
+        // One lost answer is no queue: no sample counts for more than a missed aim.
+        double strain = Math.min(1, outcome.elapsed() / (double) attempt.request().kind.aim());
         boolean answered = outcome.result() == Result.OK || outcome.result() == Result.MISSED
             || outcome.result() == Result.REJECTED || outcome.result() == Result.ERROR;
         member.answeredAt = answered ? now : member.answeredAt;
@@ -345,7 +346,7 @@
             case OK -> {
                 classMean[index] += CLASS_WEIGHT * (outcome.elapsed() - classMean[index]);
                 sample(member, strain);
-                member.servedRate += SECOND / RATE_TIME;
+                member.servedRate += work(attempt.request()) * SECOND / RATE_TIME;
                 if (strain(member) > STRAIN_AIM) {
                     narrow(member);
                 } else if (member.open.size() + 1 >= member.window / 2) {
@@ -647,8 +648,6 @@
         }
     }
 
-    // ---- Periodic work
-
     private void beat() {
         if (now >= askAt) {
             askAt = Long.MAX_VALUE;
--- a/src/test/java/ledgewall/BrainTest.java
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -331,6 +331,26 @@
         assertEquals(List.of(new Refuse(52, 0)), bench.feed(old));
     }
 
+    @Test
+    void aFewLostAnswersDoNotStarveAMemberThatAnswersTheRestInTime() {
+        Bench bench = new Bench(settings());
+        bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
+        bench.echo("a", Role.REPLICA, bench.now);
+        int sent = 0;
+        for (int i = 0; i < 200; i++) {
+            bench.now += 200 * MS;
+            bench.echo("a", Role.REPLICA, bench.now);
+            if (sends(bench.feed(bench.arrival(ANY, 1_500 * MS))).isEmpty()) {
+                continue;
+            }
+            sent++;
+            Result result = i % 5 == 0 ? Result.TIMED_OUT : Result.OK;
+            bench.feed(new Outcome(bench.lastRequest(), 0, "a", result, result == Result.OK ? 50 * MS : 1_500 * MS,
+                result == Result.OK, Role.UNKNOWN, RoutingPolicy.NONE, null));
+        }
+        assertTrue(sent > 180, "sent " + sent);
+    }
+
     @Test
     void theSameEventsBringTheSameActions() {
         Bench one = new Bench(settings()).ready();
