Narrow a replica's window while its lag grows towards the bound

Should also hold against lag of any cause that load adds to; could hurt reads of any age while replicas lag by themselves.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -39,7 +39,7 @@
     /** Silence worth this many expected answers is a fault, not chance (e^-6); none that is short counts. */
     private static final double SILENCE = 6;
     private static final long LEAST_SILENCE = 100 * MS;
-    /** A member under suspicion is offered one read in this time. */
+    /** A member under suspicion is offered one request in this time. */
     private static final long TRIAL_GAP = 500 * MS;
     /** A member's answers should take this part of their aims: the rest is for the long tail of work. */
     private static final double STRAIN_AIM = 0.42;
@@ -50,7 +50,6 @@
     private static final double LEAST_WINDOW = 1;
     private static final double STEP_UP = 2;
     private static final double STEP_DOWN = 0.85;
-    /** A window is lowered once in this time, about what an answer takes to show the last step. */
     private static final long STEP_GAP = 100 * MS;
     /** Reads get this part of the primary's window: its writes can go nowhere else. */
     private static final double PRIMARY_FOR_READS = 0.5;
@@ -86,10 +85,9 @@
         double ping;
         int pingsLeft;
         long probedAt = Long.MIN_VALUE, roundAt = Long.MIN_VALUE;
-        long suspectSince = NONE, trialAt = Long.MIN_VALUE;
+        long suspectSince = NONE, trialAt = Long.MIN_VALUE, stepDue = Long.MIN_VALUE;
         long answeredAt = Long.MIN_VALUE, sampledAt = Long.MIN_VALUE / 2, sentAt = Long.MIN_VALUE / 2;
         double strain = FIRST_STRAIN, servedRate, window;
-        long stepDue = Long.MIN_VALUE;
         final List<Attempt> open = new ArrayList<>();
         final ArrayDeque<Spent> spent = new ArrayDeque<>();
 
@@ -179,8 +177,6 @@
         return actions;
     }
 
-    // ---- Learning
-
     private void learn(Event event) {
         if (event instanceof MemberList list) {
             learnList(list);
@@ -276,7 +272,16 @@
         }
     }
 
+    /**
+     * Guards against replicas that fall behind because reads crowd them, and so are lost to bounded reads: a
+     * lag that grows towards the bound narrows the window. Harm: so does a lag that reads have no part in.
+     */
     private void learnPosition(Member member, long position) {
+        long lag = now - position;
+        if (position != NONE && lag > NEAR_BOUND * tightestBound && lag < tightestBound
+                && lag > member.positionAt - member.position) {
+            narrow(member);
+        }
         member.position = Math.max(member.position, position);
         member.positionAt = position == NONE ? member.positionAt : now;
     }
@@ -318,12 +323,9 @@
         Member member = attempt.member();
         member.open.remove(attempt);
         learnHealth(member, attempt, outcome);
-        if (outcome.role() != Role.UNKNOWN) {
-            learnRole(member, outcome.role(), now);
-            learnPosition(member, outcome.position());
-        }
-        boolean written = outcome.result() == Result.OK && request.kind.need() == Need.WRITE;
-        if (written && outcome.position() != NONE) {
+        learnRole(member, outcome.role(), now);
+        learnPosition(member, outcome.position());
+        if (outcome.result() == Result.OK && request.kind.need() == Need.WRITE) {
             sessionWrites.merge(request.arrival.session(), outcome.position(), Math::max);
         }
         if (request.over || outcome.complete()) {
@@ -333,7 +335,7 @@
         }
     }
 
-    /** Health from answers: how long a member takes against what its class takes everywhere. */
+    /** Health from answers: how much of its aim an answer took. */
     private void learnHealth(Member member, Attempt attempt, Outcome outcome) {
         int index = attempt.request().arrival.requestClass();
         // One lost answer is no queue: no sample counts for more than a missed aim.
@@ -524,7 +526,7 @@
      */
     private boolean withinBudget(Member member, double work) {
         Rules rules = settings.rules();
-        if (!cold(member)) {
+        if (age(member) >= rules.warmAfter()) {
             member.spent.clear();
             return true;
         }
@@ -532,16 +534,15 @@
             member.spent.removeFirst();
         }
         double present = rules.coldShare() + (1 - rules.coldShare()) * age(member) / rules.warmAfter();
-        double window = rules.overloadWindow() / (double) SECOND;
-        double budget = BUDGET_PART * rules.overloadFactor() * present * window
+        double budget = BUDGET_PART * rules.overloadFactor() * present * rules.overloadWindow() / SECOND
             * peakRate.getOrDefault(member.kind, 0.0);
         double used = member.spent.stream().mapToDouble(Spent::work).sum();
         return used + work <= Math.max(budget, LEAST_BUDGET);
     }
 
     /**
-     * Time since a member started: as listed or, for as long as lists are late, guessed from its return after
-     * refused connections. Harm: a member that was only cut off gets little work for that time.
+     * Time since a member started: as listed or, while lists are late, guessed from its return after refused
+     * connections. Harm: a member that was only cut off gets little work for that time.
      */
     private long age(Member member) {
         long back = now - member.returnedAt;
@@ -549,10 +550,6 @@
         return Math.max(0, back < LIST_AGE ? Math.min(back, listed) : listed);
     }
 
-    private boolean cold(Member member) {
-        return age(member) < settings.rules().warmAfter();
-    }
-
     private boolean send(Request request, Member member) {
         if (!permitted(request, member)) {
             return false;
@@ -664,7 +661,8 @@
                 watchSilence(member);
                 probeWhenDue(member);
             }
-            peakRate.merge(member.kind, cold(member) ? 0 : member.servedRate, Math::max);
+            boolean warm = age(member) >= settings.rules().warmAfter();
+            peakRate.merge(member.kind, warm ? member.servedRate : 0, Math::max);
             member.servedRate *= Math.exp(-beat / RATE_TIME);
         }
     }
--- a/src/test/java/ledgewall/BrainTest.java
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -351,6 +351,24 @@
         assertTrue(sent > 180, "sent " + sent);
     }
 
+    @Test
+    void aLagThatGrowsTowardsTheBoundNarrowsAReplicasWindow() {
+        int[] sent = new int[2];
+        for (int i = 0; i < 2; i++) {
+            Bench bench = new Bench(settings());
+            bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
+            for (int step = 0; step < 10; step++) {
+                bench.now += 250 * MS;
+                bench.echo("a", Role.REPLICA, bench.now - (i == 0 ? 100 * MS : 400 * MS + step * 50 * MS));
+            }
+            for (int j = 0; j < 20; j++) {
+                bench.ask(ANY);
+            }
+            sent[i] = sends(bench.log).size();
+        }
+        assertTrue(sent[1] > 0 && sent[1] < sent[0], sent[0] + " and " + sent[1]);
+    }
+
     @Test
     void theSameEventsBringTheSameActions() {
         Bench one = new Bench(settings()).ready();
