Tell refused clients when to come back

A refusal says soon (5% of the aim) while an answer can still be in time, else as late as the site allows. Could hurt where clients heed a late pause although their next try would have had room.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
-import java.util.stream.Collectors;
 
 /**
  * All decisions of a router. The interface, its events and its actions stand in RoutingPolicy.java.
@@ -53,10 +52,9 @@
     private static final long STEP_GAP = 100 * MS;
     /** Reads get this part of the primary's window: its writes can go nowhere else. */
     private static final double PRIMARY_FOR_READS = 0.5;
-    /** Weight of a sample in running means, of a member (fast, to show trouble) and of a class. */
+    /** Weight of a sample in running means, of a member and of a class, and the time they fade in. */
     private static final double MEMBER_WEIGHT = 0.1;
     private static final double CLASS_WEIGHT = 0.02;
-    /** Without samples, what is known of a member's slowness fades over this time. */
     private static final double FADE = 3 * SECOND;
     /** Part of the time left that a fresh router may hold a request while its first probes are out. */
     private static final double FRESH_HOLD = 0.1;
@@ -227,7 +225,7 @@
         askAt = list.kind() == ListKind.REMEMBERED ? askAt : Long.MAX_VALUE;
         boolean lenient = settings.rules().drainBindsAlone();
         if (list.kind() != ListKind.CHANGES) {
-            Set<String> listed = list.listings().stream().map(Listing::member).collect(Collectors.toSet());
+            Set<String> listed = Set.copyOf(list.listings().stream().map(Listing::member).toList());
             members.values().stream().filter(m -> !listed.contains(m.id) && !lenient)
                 .forEach(m -> m.phase = Phase.GONE);
         }
@@ -390,8 +388,6 @@
         }
     }
 
-    // ---- Routing: the one place that picks a member
-
     private void route(Request request) {
         if (request.over || request.out != null) {
             return;
@@ -626,7 +622,10 @@
             || request.mayHaveRun == null && request.out == null
             || request.kind.effect() == Effect.DEDUPLICATED && request.kind.repeatScope() == RepeatScope.ALL;
         long id = request.arrival.request();
-        actions.add(harmless ? new Refuse(id, 0) : new Fail(id));
+        // Come back soon while that can be in time; later than that, asking again is only load.
+        long soon = now < request.at + request.kind.aim() / 2 ? (long) (HOLD_PART * request.kind.aim())
+            : settings.limits().maxRetryAfter();
+        actions.add(!harmless ? new Fail(id) : new Refuse(id, settings.limits().retryAfter() ? soon : 0));
         recall(request);
         close(request);
     }
