--- a/src/main/java/ledgewall/simhost/SimHost.java
+++ b/src/main/java/ledgewall/simhost/SimHost.java
@@ -135,17 +135,14 @@
     }
 
     private void deliver(String what, Fields message, Map<Integer, Instance> touched) {
-        if (!message.has("who")) {
-            return; // a kind of message that is not known and names no instance
+        Instance instance = instances.get((int) message.integer("who", -1));
+        RoutingPolicy.Event event = what.equals("directoryUpdate")
+            ? memberList(message) : Codec.event(what, message, instance == null ? 0 : instance.origin());
+        if (event == null) {
+            return; // a kind of message that is not known
         }
         int who = (int) message.integer("who");
-        Instance instance = instances.get(who);
-        if (instance == null) {
-            return; // meant for a life that has ended
-        }
-        RoutingPolicy.Event event = what.equals("directoryUpdate")
-            ? memberList(message) : Codec.event(what, message, instance.origin());
-        if (event != null) {
+        if (instance != null) { // else meant for a life that has ended
             instance.events().add(event);
             touched.put(who, instance);
         }
--- a/src/test/java/ledgewall/simhost/SimHostTest.java
+++ b/src/test/java/ledgewall/simhost/SimHostTest.java
@@ -136,6 +136,8 @@
         assertMessage("line 4: lacks 'atTimeNs'", "{\"msgs\":[]}");
         assertMessage("line 4, msgs[1]: lacks 'salt'", batch(list(0, "x:1"), "{\"what\":\"begin\",\"who\":0,\"info\":{}}"));
         assertMessage("line 4, msgs[0]: lacks 'what'", batch("{}"));
+        assertMessage("line 4, msgs[0]: lacks 'ticket'", batch("{\"what\":\"verdict\",\"who\":0}"));
+        assertMessage("line 4, msgs[0]: lacks 'who'", batch("{\"what\":\"tickDue\",\"handle\":1}"));
         assertMessage("line 4: no JSON object", "[]");
     }
 
