Count silence as a fault only at twenty expected answers

Cause, found by ablation: at six, long work and short pauses of sound members were taken for hangs and reads were done twice. Windows hold most of what a hang takes; could hurt where a member hangs with few attempts out.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -35,8 +35,8 @@
     private static final double NEAR_BOUND = 0.33;
     /** Gap between urgent probes of one member: some a second, few against its reads. */
     private static final long URGENT_GAP = 250 * MS;
-    /** Silence worth this many expected answers is a fault, not chance (e^-6); none that is short counts. */
-    private static final double SILENCE = 6;
+    /** Silence worth this many expected answers is a fault (work has long tails); none that is short is. */
+    private static final double SILENCE = 20;
     private static final long LEAST_SILENCE = 100 * MS;
     /** A member under suspicion is offered one request in this time. */
     private static final long TRIAL_GAP = 500 * MS;
