--- a/src/main/java/ledgewall/RoutingPolicy.java
+++ b/src/main/java/ledgewall/RoutingPolicy.java
@@ -103,5 +103,14 @@
 
     record Subscribe() implements Action { }
 
+    /** Asks for the whole member list once. */
+    record FetchList() implements Action { }
+
+    /** Closes idle connections to a member. */
+    record Disconnect(String member) implements Action { }
+
+    /** Sends to one router, or to every other where {@code router} is {@link #NONE}. */
+    record Tell(long router, byte[] content) implements Action { }
+
     record Note(String text) implements Action { }
 }
--- a/src/main/java/ledgewall/simhost/Codec.java
+++ b/src/main/java/ledgewall/simhost/Codec.java
@@ -251,6 +251,19 @@
         } else if (action instanceof RoutingPolicy.Subscribe) {
             head(out, "keepInformed", instance);
             out.writeBooleanField("active", true);
+        } else if (action instanceof RoutingPolicy.FetchList) {
+            head(out, "getList", instance);
+        } else if (action instanceof RoutingPolicy.Disconnect disconnect) {
+            head(out, "dropConns", instance);
+            out.writeStringField("host", disconnect.member());
+        } else if (action instanceof RoutingPolicy.Tell tell) {
+            head(out, "notify", instance);
+            if (tell.router() == RoutingPolicy.NONE) {
+                out.writeStringField("whom", "*");
+            } else {
+                out.writeNumberField("whom", tell.router());
+            }
+            out.writeStringField("octets", Base64.getEncoder().encodeToString(tell.content()));
         } else if (action instanceof RoutingPolicy.Note note) {
             head(out, "trace", instance);
             out.writeStringField("line", note.text());
--- a/src/test/java/ledgewall/simhost/SimHostTest.java
+++ b/src/test/java/ledgewall/simhost/SimHostTest.java
@@ -109,7 +109,9 @@
     void everyActionHasItsWords() throws IOException {
         host.reply(batch(begin(0)), "line 1");
         recorders.get(0).answer = List.of(new Send(1, "x:1", 5), new Refuse(2, 6), new Fail(3), new Cancel(4, 1),
-            new Probe("x:1"), new SetTimer(9, 8), new Subscribe(), new Note("a \"note\""));
+            new Probe("x:1"), new SetTimer(9, 8), new Subscribe(), new FetchList(),
+            new Disconnect("x:1"), new Tell(2, new byte[] {104, 105}), new Tell(RoutingPolicy.NONE, new byte[0]),
+            new Note("a \"note\""));
         assertEquals("{\"do\":["
             + "{\"what\":\"place\",\"who\":0,\"ticket\":1,\"giveUpAfterNs\":5,\"host\":\"x:1\"},"
             + "{\"what\":\"overloadReply\",\"who\":0,\"ticket\":2,\"pauseNs\":6},"
@@ -118,6 +120,10 @@
             + "{\"what\":\"poll\",\"who\":0,\"host\":\"x:1\"},"
             + "{\"what\":\"after\",\"who\":0,\"whenNs\":9,\"handle\":8},"
             + "{\"what\":\"keepInformed\",\"who\":0,\"active\":true},"
+            + "{\"what\":\"getList\",\"who\":0},"
+            + "{\"what\":\"dropConns\",\"who\":0,\"host\":\"x:1\"},"
+            + "{\"what\":\"notify\",\"who\":0,\"whom\":2,\"octets\":\"aGk=\"},"
+            + "{\"what\":\"notify\",\"who\":0,\"whom\":\"*\",\"octets\":\"\"},"
             + "{\"what\":\"trace\",\"who\":0,\"line\":\"a \\\"note\\\"\"}]}\n",
             host.reply(batch("{\"what\":\"tickDue\",\"who\":0,\"handle\":1}"), "line 2"));
     }
