--- a/src/test/java/ledgewall/BrainTest.java
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -130,6 +130,44 @@
         assertEquals(before + 1, sends(bench.log).size());
     }
 
+    private static Bench withReads(Need need, boolean tokensCarried) {
+        Settings base = settings();
+        RequestClass read = new RequestClass(need, 0, Effect.IDEMPOTENT, RepeatScope.ALL, 0, 300 * MS, 750 * MS, 2, 0,
+            false);
+        Data data = new Data(Behind.ANSWERS, 0, false, tokensCarried, ListedRole.NEVER, true, true);
+        return new Bench(new Settings(2, 0, 0, 5 * MS, false, List.of(read, read, base.classes().get(WRITE)),
+            List.of(), 1, base.limits(), data, base.rules())).ready();
+    }
+
+    @Test
+    void aReadThatMustBeFreshUsesThePrimary() {
+        Bench bench = withReads(Need.FRESH, true);
+        bench.now += MS;
+        assertEquals(List.of("p"), sends(bench.ask(0)));
+    }
+
+    @Test
+    void aCarriedTokenKeepsReadsOffReplicasThatLackTheSessionsWrite() {
+        Bench bench = withReads(Need.SESSION, true);
+        bench.now += 100 * MS;
+        bench.feed(new Arrival(70, 0, 0, 1, 5, 700 * MS, 50 * MS, false));
+        assertEquals(List.of("p"), sends(bench.log));
+        bench.feed(new Arrival(71, 0, 0, 1, 5, 700 * MS, 150 * MS, false));
+        assertNotEquals("p", sends(bench.log).get(1));
+    }
+
+    @Test
+    void aRememberedWriteKeepsReadsOffReplicasThatLackIt() {
+        Bench bench = withReads(Need.SESSION, false);
+        bench.ask(WRITE);
+        bench.now += 100 * MS;
+        bench.feed(new Outcome(1, 0, "p", Result.OK, 100 * MS, true, Role.PRIMARY, bench.now, null));
+        assertEquals(List.of("p"), sends(bench.ask(0)));
+        bench.now += 100 * MS;
+        bench.echo("a", Role.REPLICA, bench.now);
+        assertEquals(List.of("a"), sends(bench.ask(0)));
+    }
+
     // Rule 1: one final answer, in time
 
     @Test
@@ -207,6 +245,16 @@
         assertEquals(List.of("p"), sends(bench.ask(ANY)));
     }
 
+    @Test
+    void whereOnlyADrainBindsAnAbsentMemberMayStillBeAsked() {
+        Settings base = settings();
+        Rules rules = new Rules(20 * MS, 10 * SECOND, 500 * MS, true, 0.2, 10 * SECOND, 3, 2 * SECOND);
+        Bench bench = new Bench(new Settings(2, 0, 0, 5 * MS, false, base.classes(), List.of(), 1, base.limits(),
+            base.data(), rules)).ready();
+        bench.feed(new MemberList(ListKind.FULL, List.of(line("p"), line("b", Phase.DRAINING, 0))));
+        assertEquals(List.of("a"), sends(bench.ask(ANY)));
+    }
+
     @Test
     void aListThatMustBeAskedForIsAskedForAgainAfterAFailure() {
         Bench bench = new Bench(settings(Effect.AT_MOST_ONCE, Behind.REFUSES, true));
