Take turns at cold members by rank, probe urgently by demand

Cause: a least budget of two sends a router let ninety routers push a cold member over; probes near a bound went out four times a second from every router whether or not anybody had asked. Shares below one send now take turns, a window each, by rank; a lag seen small holds until the next probe where members refuse stale reads, and urgent probes need a request since the last one. A group without requests learns late that its primary moved; the first write then asks.

Also mended: an unknown position overflowed into a lag below zero.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -31,7 +31,7 @@
     private static final double PING_MARGIN = 0.125;
     /** A member whose expected delay is over this multiple of the best one's is crowded, not just unlucky. */
     private static final double CROWDED = 2.0;
-    /** Part of a bound after which a position is probed anew, and below which a lag is taken to hold on. */
+    /** Part of a bound from which a lag is near it, probed anew, and below which it is taken to hold on. */
     private static final double NEAR_BOUND = 0.33;
     /** Gap between urgent probes of one member: some a second, few against its reads. */
     private static final long URGENT_GAP = 250 * MS;
@@ -65,8 +65,8 @@
     /** Part of a cold member's budget that is spent (the rest is for chance); the time of served rates. */
     private static final double BUDGET_PART = 0.5;
     private static final double RATE_TIME = 4 * SECOND;
-    /** Sends in a window that a cold member gets even when nothing is known of its size. */
-    private static final double LEAST_BUDGET = 2;
+    /** Sends in a window that a cold member gets of all routers even when nothing is known of its size. */
+    private static final double LEAST_BUDGET = 6;
     /** First wait before asking for the list again after a failure; the rule gives the longest. */
     private static final long ASK_AGAIN = SECOND;
 
@@ -78,7 +78,7 @@
         Phase phase;
         long born, returnedAt = Long.MIN_VALUE / 2;
         Role role = Role.UNKNOWN;
-        long roleAt = Long.MIN_VALUE, position = Long.MIN_VALUE, positionAt = Long.MIN_VALUE;
+        long roleAt = Long.MIN_VALUE, position = Long.MIN_VALUE / 2, positionAt = Long.MIN_VALUE / 2;
         boolean probing, down, refused;
         double ping;
         int pingsLeft;
@@ -101,7 +101,7 @@
         final List<Member> members = new ArrayList<>();
         final List<Request> held = new ArrayList<>();
         Member primary;
-        long primaryAt = Long.MIN_VALUE, askDue = Long.MIN_VALUE;
+        long primaryAt = Long.MIN_VALUE, askDue = Long.MIN_VALUE, askedAt = Long.MIN_VALUE;
     }
 
     /** A request until its last attempt is accounted for. */
@@ -199,6 +199,7 @@
         Group group = groups.computeIfAbsent(arrival.group(), id -> new Group());
         int index = arrival.requestClass();
         RequestClass kind = settings.classes().get(index);
+        group.askedAt = now;
         long end = Math.max(now, now + arrival.timeLeft() - 2 * beat);
         // A retry with another time left than first tries has the rest of the whole deadline: that tells when
         // its client first asked. Past its aim some work is worth nothing: no attempt starts then, but one
@@ -270,16 +271,7 @@
         }
     }
 
-    /**
-     * Guards against replicas that fall behind because reads crowd them, and so are lost to bounded reads: a
-     * lag that grows towards the bound narrows the window. Harm: so does a lag that reads have no part in.
-     */
     private void learnPosition(Member member, long position) {
-        long lag = now - position;
-        if (position != NONE && lag > NEAR_BOUND * tightestBound && lag < tightestBound
-                && lag > member.positionAt - member.position) {
-            narrow(member);
-        }
         member.position = Math.max(member.position, position);
         member.positionAt = position == NONE ? member.positionAt : now;
     }
@@ -477,19 +469,21 @@
 
     /** Whether the member's data is new enough, as far as this router can know. */
     private boolean eligible(Request request, Member member) {
-        boolean refuses = settings.data().behind() != Behind.ANSWERS;
-        return switch (request.kind.need()) {
+        long bound = request.kind.stalenessBound();
+        return member == request.group.primary || switch (request.kind.need()) {
             case ANY, WRITE -> true;
-            case FRESH, SESSION -> member.position >= request.needed || member == request.group.primary;
-            case BOUNDED -> {
-                long bound = request.kind.stalenessBound();
-                yield member == request.group.primary || member.position >= now - bound
-                    || refuses && member.positionAt > now - PROBE_PERIOD
-                    && member.positionAt - member.position < NEAR_BOUND * bound;
-            }
+            case FRESH, SESSION -> member.position >= request.needed;
+            case BOUNDED -> member.position >= now - bound || lag(member) < NEAR_BOUND * bound;
         };
     }
 
+    /** Where members refuse stale reads themselves, a lag is taken to hold on until the next probe. */
+    private long lag(Member member) {
+        boolean holds = settings.data().behind() != Behind.ANSWERS
+            && member.positionAt > now - PROBE_PERIOD - URGENT_GAP;
+        return (holds ? member.positionAt : now) - member.position;
+    }
+
     // ---- The gate: every send passes here
 
     private boolean permitted(Request request, Member member) {
@@ -532,8 +526,14 @@
         double present = rules.coldShare() + (1 - rules.coldShare()) * age(member) / rules.warmAfter();
         double budget = BUDGET_PART * rules.overloadFactor() * present * rules.overloadWindow() / SECOND
             * peakRate.getOrDefault(member.kind, 0.0);
-        double used = member.spent.stream().mapToDouble(Spent::work).sum();
-        return used + work <= Math.max(budget, LEAST_BUDGET);
+        // Many routers' shares are below one send. Then they take turns, by their ranks, a window each: a cold
+        // member that all of them turn to at once (its group's new primary) still meets only a few in any window.
+        double share = Math.max(budget, LEAST_BUDGET / settings.routers());
+        long turns = (long) Math.ceil(1 / share);
+        if (member.spent.isEmpty() || turns > 1) {
+            return member.spent.isEmpty() && (now / rules.overloadWindow() + settings.rank()) % turns == 0;
+        }
+        return member.spent.stream().mapToDouble(Spent::work).sum() + work <= share;
     }
 
     /**
@@ -710,13 +710,14 @@
         }
     }
 
+    /** Only what a request has asked for since: many routers' probes would cost more than their requests. */
     private boolean wantsUrgentProbe(Member member) {
         Group group = member.group;
-        boolean nearBound = settings.data().probesTellPosition()
-            && now - member.position > NEAR_BOUND * tightestBound;
+        boolean nearBound = settings.data().probesTellPosition() && lag(member) > NEAR_BOUND * tightestBound;
         boolean noPrimary = group.primary == null || group.primary.down || group.primary.suspectSince != NONE
             || group.primary.phase != Phase.SERVING;
-        return nearBound || noPrimary || member.down || member.suspectSince != NONE;
+        return group.askedAt > member.probedAt
+            && (nearBound || noPrimary || member.down || member.suspectSince != NONE);
     }
 
     private void urgent(Member member) {
