Let a member's strain fade to its kind's, and draw among members within 1.5 of the best

Cause: with fifty routers a member answers a router once in two seconds, so its strain was the mean over all members and slow kinds of machine got as many reads as fast ones. What is pooled is the kind that the list names, by number. It also meets a kind that fails together; harm: one bad machine lends a little of its strain to its kind until its own answers tell.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -29,8 +29,8 @@
     private static final int PINGS = 3;
     /** Ping differences below this part of a read's usual time are not felt by its client. */
     private static final double PING_MARGIN = 0.125;
-    /** A member whose expected delay is over this multiple of the best one's is crowded, not just unlucky. */
-    private static final double CROWDED = 2.0;
+    /** A member whose expected delay is over this multiple of the best one's is crowded or slow, not unlucky. */
+    private static final double CROWDED = 1.5;
     /** Part of a bound from which a lag is near it, probed anew, and below which it is taken to hold on. */
     private static final double NEAR_BOUND = 0.33;
     /** Gap between urgent probes of one member: some a second, few against its reads. */
@@ -137,13 +137,12 @@
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<Long, Group> groups = new LinkedHashMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
-    private final Map<Integer, Double> peakRate = new HashMap<>();
+    private final Map<Integer, Double> peakRate = new HashMap<>(), kindStrain = new HashMap<>();
     private final Map<Long, Long> sessionWrites = new HashMap<>();
     private final List<Request> pending = new ArrayList<>();
     private List<Action> actions = new ArrayList<>();
     private long now, startedAt = Long.MIN_VALUE, nextBeat = Long.MIN_VALUE;
     private long askAt = Long.MAX_VALUE, askWait = ASK_AGAIN;
-    private double usualStrain = FIRST_STRAIN;
 
     public Brain(Settings settings, long seed) {
         this.settings = settings;
@@ -364,13 +363,14 @@
 
     private void sample(Member member, double strain) {
         member.strain = strain(member) + MEMBER_WEIGHT * (strain - strain(member));
-        usualStrain += CLASS_WEIGHT * (strain - usualStrain);
+        kindStrain.merge(member.kind, strain, (mean, one) -> mean + CLASS_WEIGHT * (one - mean));
         member.sampledAt = now;
     }
 
-    /** How much of their aims a member's answers take; without samples this fades to what is usual. */
+    /** How much of their aims a member's answers take; without samples this fades to what its kind's do. */
     private double strain(Member member) {
-        return usualStrain + (member.strain - usualStrain) * Math.exp((member.sampledAt - now) / FADE);
+        double usual = kindStrain.getOrDefault(member.kind, FIRST_STRAIN);
+        return usual + (member.strain - usual) * Math.exp((member.sampledAt - now) / FADE);
     }
 
     private void narrow(Member member) {
@@ -526,8 +526,8 @@
         double present = rules.coldShare() + (1 - rules.coldShare()) * age(member) / rules.warmAfter();
         double budget = BUDGET_PART * rules.overloadFactor() * present * rules.overloadWindow() / SECOND
             * peakRate.getOrDefault(member.kind, 0.0);
-        // Many routers' shares are below one send. Then they take turns, by their ranks, a window each: a cold
-        // member that all of them turn to at once (its group's new primary) still meets only a few in any window.
+        // Many routers' shares are below one send. Then they take turns, by their ranks, a window each: a
+        // cold member that all turn to at once (its group's new primary) still meets only a few in any window.
         double share = Math.max(budget, LEAST_BUDGET / settings.routers());
         long turns = (long) Math.ceil(1 / share);
         if (member.spent.isEmpty() || turns > 1) {
