--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -29,7 +29,7 @@
     private static final int PINGS = 3;
     /** Ping differences below this part of a read's usual time are not felt by its client. */
     private static final double PING_MARGIN = 0.125;
-    /** A member whose expected delay is over this multiple of the best one's is crowded or slow, not unlucky. */
+    /** A member whose expected delay is over this multiple of the best's is crowded or slow, not unlucky. */
     private static final double CROWDED = 1.5;
     /** Part of a bound from which a lag is near it, probed anew, and below which it is taken to hold on. */
     private static final double NEAR_BOUND = 0.33;
@@ -363,7 +363,8 @@
 
     private void sample(Member member, double strain) {
         member.strain = strain(member) + MEMBER_WEIGHT * (strain - strain(member));
-        kindStrain.merge(member.kind, strain, (mean, one) -> mean + CLASS_WEIGHT * (one - mean));
+        double usual = kindStrain.getOrDefault(member.kind, FIRST_STRAIN);
+        kindStrain.put(member.kind, usual + CLASS_WEIGHT * (strain - usual));
         member.sampledAt = now;
     }
 
@@ -394,9 +395,8 @@
     }
 
     private List<Member> candidates(Request request, Predicate<Member> test) {
-        List<Member> found = new ArrayList<>(request.group.members);
-        found.removeIf(m -> request.tried.contains(m) || !test.test(m) || !permitted(request, m));
-        return found;
+        return new ArrayList<>(request.group.members.stream()
+            .filter(m -> !request.tried.contains(m) && test.test(m) && permitted(request, m)).toList());
     }
 
     private Member pickForWrite(Request request) {
@@ -527,7 +527,7 @@
         double budget = BUDGET_PART * rules.overloadFactor() * present * rules.overloadWindow() / SECOND
             * peakRate.getOrDefault(member.kind, 0.0);
         // Many routers' shares are below one send. Then they take turns, by their ranks, a window each: a
-        // cold member that all turn to at once (its group's new primary) still meets only a few in any window.
+        // cold member that all turn to at once (its group's new primary) still meets only a few in a window.
         double share = Math.max(budget, LEAST_BUDGET / settings.routers());
         long turns = (long) Math.ceil(1 / share);
         if (member.spent.isEmpty() || turns > 1) {
