Learn no slowness from the batch that follows the router's own pause

Cause: a router that stood still reads its own pause as its members' slowness, narrows every window and suspects silence. Harm: one batch of true evidence goes unread.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -38,6 +38,8 @@
     /** Silence worth this many expected answers is a fault (work has long tails); none that is short is. */
     private static final double SILENCE = 20;
     private static final long LEAST_SILENCE = 100 * MS;
+    /** A timer later than this tells of a pause of the router itself: many ticks, far less than an aim. */
+    private static final long STANDSTILL = 50 * MS;
     /** A member under suspicion is offered one request in this time. */
     private static final long TRIAL_GAP = 500 * MS;
     /** A member's answers should take this part of their aims: the rest is for the long tail of work. */
@@ -141,6 +143,7 @@
     private final Map<Long, Long> sessionWrites = new HashMap<>();
     private final List<Request> pending = new ArrayList<>();
     private List<Action> actions = new ArrayList<>();
+    private boolean stood;
     private long now, startedAt = Long.MIN_VALUE, nextBeat = Long.MIN_VALUE;
     private long askAt = Long.MAX_VALUE, askWait = ASK_AGAIN;
 
@@ -162,6 +165,12 @@
             startedAt = nextBeat = now;
             askAt = settings.askForList() ? now : Long.MAX_VALUE;
         }
+        // Guards against the router's own pauses, which tell by its late timer: what comes at once after one
+        // took no longer at the members. Harm: a late timer alone hides one batch of evidence.
+        stood = now > nextBeat + STANDSTILL;
+        if (stood) {
+            members.values().forEach(m -> m.answeredAt = now);
+        }
         events.forEach(this::learn);
         if (now >= nextBeat) {
             beat();
@@ -333,6 +342,9 @@
             || outcome.result() == Result.REJECTED || outcome.result() == Result.ERROR;
         member.answeredAt = answered ? now : member.answeredAt;
         member.suspectSince = answered ? NONE : member.suspectSince;
+        if (stood && outcome.result() != Result.NOT_CONNECTED) {
+            return;
+        }
         switch (outcome.result()) {
             case OK -> {
                 classMean[index] += CLASS_WEIGHT * (outcome.elapsed() - classMean[index]);
