Tell members apart by few answers, and take cold budgets from a kind's mean rate

Now a sample weighs 0.3 and fades in 20 s; in the draw no member counts as better than its kind; cold budgets come from the mean rate of a kind's warm members, seven tenths of them spent, parts of a send rounded up by turns.

Harm: where few members of a kind are warm, returning ones warm up slowly.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -1,6 +1,5 @@
 package ledgewall;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -35,9 +34,8 @@
     private static final double NEAR_BOUND = 0.33;
     /** Gap between urgent probes of one member: some a second, few against its reads. */
     private static final long URGENT_GAP = 250 * MS;
-    /** Silence worth this many expected answers is a fault (work has long tails); none that is short is. */
+    /** Silence worth this many expected answers is a fault: work has long tails. */
     private static final double SILENCE = 20;
-    private static final long LEAST_SILENCE = 100 * MS;
     /** A timer later than this tells of a pause of the router itself: many ticks, far less than an aim. */
     private static final long STANDSTILL = 50 * MS;
     /** A member under suspicion is offered one request in this time. */
@@ -54,10 +52,10 @@
     private static final long STEP_GAP = 100 * MS;
     /** Reads get this part of the primary's window: its writes can go nowhere else. */
     private static final double PRIMARY_FOR_READS = 0.5;
-    /** Weight of a sample in running means, of a member and of a class, and the time they fade in. */
-    private static final double MEMBER_WEIGHT = 0.1;
+    /** Weight of a sample in means of a member and of many, and its time: few answers come from a member. */
+    private static final double MEMBER_WEIGHT = 0.3;
     private static final double CLASS_WEIGHT = 0.02;
-    private static final double FADE = 3 * SECOND;
+    private static final double FADE = 20 * SECOND;
     /** Part of the time left that a fresh router may hold a request while its first probes are out. */
     private static final double FRESH_HOLD = 0.1;
     /** Part of its aim that a read may be held: long enough for a burst to pass. */
@@ -65,18 +63,24 @@
     /** A listed role is taken for evidence this old: about as late as lists are. */
     private static final long LIST_AGE = 5 * SECOND;
     /** Part of a cold member's budget that is spent (the rest is for chance); the time of served rates. */
-    private static final double BUDGET_PART = 0.5;
+    private static final double BUDGET_PART = 0.7;
     private static final double RATE_TIME = 4 * SECOND;
     /** Sends in a window that a cold member gets of all routers even when nothing is known of its size. */
     private static final double LEAST_BUDGET = 6;
+    /** The golden section: turns that follow it are spread evenly over routers and over time. */
+    private static final double TURN = 0.618034;
     /** First wait before asking for the list again after a failure; the rule gives the longest. */
     private static final long ASK_AGAIN = SECOND;
+    /** Outcomes that only a member that answers can bring. */
+    private static final List<Result> ANSWERED =
+        List.of(Result.OK, Result.MISSED, Result.REJECTED, Result.ERROR);
 
     /** What is known of one member: listing, newest evidence, health, own attempts. */
     private static final class Member {
         final String id;
         final Group group;
-        int zone, kind;
+        int zone;
+        Kind kind;
         Phase phase;
         long born, returnedAt = Long.MIN_VALUE / 2;
         Role role = Role.UNKNOWN;
@@ -84,12 +88,12 @@
         boolean probing, down, refused;
         double ping;
         int pingsLeft;
-        long probedAt = Long.MIN_VALUE, roundAt = Long.MIN_VALUE;
+        long probedAt = Long.MIN_VALUE / 2, roundAt = Long.MIN_VALUE / 2;
         long suspectSince = NONE, trialAt = Long.MIN_VALUE, stepDue = Long.MIN_VALUE;
         long answeredAt = Long.MIN_VALUE, sampledAt = Long.MIN_VALUE / 2, sentAt = Long.MIN_VALUE / 2;
         double strain = FIRST_STRAIN, servedRate, window;
         final List<Attempt> open = new ArrayList<>();
-        final ArrayDeque<Spent> spent = new ArrayDeque<>();
+        final List<Spent> spent = new ArrayList<>();
 
         Member(String id, Group group) {
             this.id = id;
@@ -99,6 +103,11 @@
 
     private record Spent(long at, double work) { }
 
+    /** What members of one kind of machine have in common. */
+    private static final class Kind {
+        double strain = FIRST_STRAIN, peakRate;
+    }
+
     private static final class Group {
         final List<Member> members = new ArrayList<>();
         final List<Request> held = new ArrayList<>();
@@ -107,25 +116,31 @@
     }
 
     /** A request until its last attempt is accounted for. */
-    private static final class Request {
+    private final class Request {
         final Arrival arrival;
         final RequestClass kind;
         final Group group;
-        final long at, end, lastSend;
+        final long at, end, lastSend, needed;
         final List<Member> tried = new ArrayList<>();
         final List<Attempt> attempts = new ArrayList<>();
-        long needed = Long.MIN_VALUE;
         Attempt out, mayHaveRun;
         int unanswered;
-        boolean begun, over, recalled;
+        boolean begun, over;
 
-        Request(Arrival arrival, RequestClass kind, Group group, long at, long end, long lastSend) {
+        Request(Arrival arrival) {
             this.arrival = arrival;
-            this.kind = kind;
-            this.group = group;
-            this.at = at;
-            this.end = end;
-            this.lastSend = lastSend;
+            int index = arrival.requestClass();
+            kind = settings.classes().get(index);
+            group = groups.computeIfAbsent(arrival.group(), id -> new Group());
+            end = Math.max(now, now + arrival.timeLeft() - 2 * beat);
+            // A retry with another time left than first tries has the rest of the whole deadline: that tells
+            // when its client first asked. Past its aim worthless work is not begun; what runs may answer.
+            patience[index] = arrival.retry() ? patience[index] : arrival.timeLeft();
+            boolean told = arrival.retry() && Math.abs(arrival.timeLeft() - patience[index]) > beat;
+            at = now - (told ? Math.max(0, kind.deadline() - arrival.timeLeft()) : 0);
+            lastSend = kind.lateWorth() > 0 ? end : Math.min(end, at + kind.aim() - beat);
+            needed = kind.need() == Need.FRESH ? now : arrival.sinceWrite() != NONE
+                ? now - arrival.sinceWrite() : sessionWrites.getOrDefault(arrival.session(), Long.MIN_VALUE);
         }
     }
 
@@ -139,7 +154,7 @@
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<Long, Group> groups = new LinkedHashMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
-    private final Map<Integer, Double> peakRate = new HashMap<>(), kindStrain = new HashMap<>();
+    private final Map<Integer, Kind> kinds = new HashMap<>();
     private final Map<Long, Long> sessionWrites = new HashMap<>();
     private final List<Request> pending = new ArrayList<>();
     private List<Action> actions = new ArrayList<>();
@@ -168,9 +183,7 @@
         // Guards against the router's own pauses, which tell by its late timer: what comes at once after one
         // took no longer at the members. Harm: a late timer alone hides one batch of evidence.
         stood = now > nextBeat + STANDSTILL;
-        if (stood) {
-            members.values().forEach(m -> m.answeredAt = now);
-        }
+        members.values().stream().filter(m -> stood).forEach(m -> m.answeredAt = now);
         events.forEach(this::learn);
         if (now >= nextBeat) {
             beat();
@@ -204,21 +217,8 @@
             actions.add(new Refuse(arrival.request(), 0)); // of no class that the settings name: nothing ran
             return;
         }
-        Group group = groups.computeIfAbsent(arrival.group(), id -> new Group());
-        int index = arrival.requestClass();
-        RequestClass kind = settings.classes().get(index);
-        group.askedAt = now;
-        long end = Math.max(now, now + arrival.timeLeft() - 2 * beat);
-        // A retry with another time left than first tries has the rest of the whole deadline: that tells when
-        // its client first asked. Past its aim some work is worth nothing: no attempt starts then, but one
-        // that runs may still answer, for an end here would only make the client ask for that work again.
-        patience[index] = arrival.retry() ? patience[index] : arrival.timeLeft();
-        boolean told = arrival.retry() && Math.abs(arrival.timeLeft() - patience[index]) > beat;
-        long asked = now - (told ? Math.max(0, kind.deadline() - arrival.timeLeft()) : 0);
-        long lastSend = kind.lateWorth() > 0 ? end : Math.min(end, asked + kind.aim() - beat);
-        Request request = new Request(arrival, kind, group, asked, end, lastSend);
-        request.needed = kind.need() == Need.FRESH ? now : arrival.sinceWrite() != NONE
-            ? now - arrival.sinceWrite() : sessionWrites.getOrDefault(arrival.session(), Long.MIN_VALUE);
+        Request request = new Request(arrival);
+        request.group.askedAt = now;
         requests.put(arrival.request(), request);
         pending.add(request);
     }
@@ -241,7 +241,7 @@
         for (Listing line : list.listings()) {
             Member member = members.computeIfAbsent(line.member(), id -> join(line));
             member.zone = line.zone();
-            member.kind = line.kind();
+            member.kind = kinds.computeIfAbsent(line.kind(), id -> new Kind());
             if (line.born() > member.born) {
                 member.born = line.born();
                 member.down = false;
@@ -338,8 +338,7 @@
         int index = attempt.request().arrival.requestClass();
         // One lost answer is no queue: no sample counts for more than a missed aim.
         double strain = Math.min(1, outcome.elapsed() / (double) attempt.request().kind.aim());
-        boolean answered = outcome.result() == Result.OK || outcome.result() == Result.MISSED
-            || outcome.result() == Result.REJECTED || outcome.result() == Result.ERROR;
+        boolean answered = ANSWERED.contains(outcome.result());
         member.answeredAt = answered ? now : member.answeredAt;
         member.suspectSince = answered ? NONE : member.suspectSince;
         if (stood && outcome.result() != Result.NOT_CONNECTED) {
@@ -375,14 +374,13 @@
 
     private void sample(Member member, double strain) {
         member.strain = strain(member) + MEMBER_WEIGHT * (strain - strain(member));
-        double usual = kindStrain.getOrDefault(member.kind, FIRST_STRAIN);
-        kindStrain.put(member.kind, usual + CLASS_WEIGHT * (strain - usual));
+        member.kind.strain += CLASS_WEIGHT * (strain - member.kind.strain);
         member.sampledAt = now;
     }
 
     /** How much of their aims a member's answers take; without samples this fades to what its kind's do. */
     private double strain(Member member) {
-        double usual = kindStrain.getOrDefault(member.kind, FIRST_STRAIN);
+        double usual = member.kind.strain;
         return usual + (member.strain - usual) * Math.exp((member.sampledAt - now) / FADE);
     }
 
@@ -441,7 +439,7 @@
             return drawNearFastest(request, replicas);
         }
         // Then the primary; where nobody looks well, doubt the judgement rather than the members.
-        boolean doubt = group.members.stream().noneMatch(m -> m.phase == Phase.SERVING && healthy(m));
+        boolean doubt = group.members.stream().noneMatch(this::healthy);
         return candidates(request, doubt ? m -> eligible(request, m) && now >= m.trialAt + TRIAL_GAP
             : m -> m == group.primary && healthy(m) && room(request, m, PRIMARY_FOR_READS))
             .stream().findFirst().orElse(null);
@@ -457,9 +455,9 @@
         return replicas.get(random.nextInt(replicas.size()));
     }
 
-    /** Relative delay to be expected of a member: its strain times the own attempts before a new one. */
+    /** Relative delay to be expected of a member; none beats its kind: a few quick answers may be luck. */
     private double delay(Member member) {
-        return strain(member) * (member.open.size() + 1);
+        return Math.max(member.kind.strain, strain(member)) * (member.open.size() + 1);
     }
 
     /**
@@ -474,9 +472,13 @@
             : member.open.size() < window;
     }
 
+    private boolean usable(Member member) {
+        return member.phase == Phase.SERVING && !member.down;
+    }
+
     private boolean healthy(Member member) {
         boolean trial = member.open.isEmpty() && now >= member.trialAt + TRIAL_GAP;
-        return !member.down && (member.suspectSince == NONE || trial);
+        return usable(member) && (member.suspectSince == NONE || trial);
     }
 
     /** Whether the member's data is new enough, as far as this router can know. */
@@ -518,13 +520,13 @@
     }
 
     private double work(Request request) {
-        double mean = Arrays.stream(classMean).average().orElse(1);
-        return classMean[request.arrival.requestClass()] / mean;
+        return classMean[request.arrival.requestClass()] / Arrays.stream(classMean).average().orElse(1);
     }
 
     /**
-     * Cold members: this router's part of what one may take in any window, from the best rate at which a warm
-     * member of that kind has served this router. Such rates, over all routers, add up to what one can do.
+     * Cold members: this router's part of what one may take in any window, from the best mean rate at which
+     * warm members of that kind have served this router. Such rates, over all routers, add up to what one can
+     * do; the best of single members would not, for the few answers of each come in bursts.
      */
     private boolean withinBudget(Member member, double work) {
         Rules rules = settings.rules();
@@ -532,20 +534,15 @@
             member.spent.clear();
             return true;
         }
-        while (!member.spent.isEmpty() && member.spent.peekFirst().at() <= now - rules.overloadWindow()) {
-            member.spent.removeFirst();
-        }
+        member.spent.removeIf(spent -> spent.at() <= now - rules.overloadWindow());
         double present = rules.coldShare() + (1 - rules.coldShare()) * age(member) / rules.warmAfter();
         double budget = BUDGET_PART * rules.overloadFactor() * present * rules.overloadWindow() / SECOND
-            * peakRate.getOrDefault(member.kind, 0.0);
-        // Many routers' shares are below one send. Then they take turns, by their ranks, a window each: a
-        // cold member that all turn to at once (its group's new primary) still meets only a few in a window.
+            * member.kind.peakRate;
+        // Many routers' shares are parts of a send. Whose turn it is to round up goes by rank and window, so
+        // a cold member that all turn to at once (its group's new primary) still meets only its budget.
         double share = Math.max(budget, LEAST_BUDGET / settings.routers());
-        long turns = (long) Math.ceil(1 / share);
-        if (member.spent.isEmpty() || turns > 1) {
-            return member.spent.isEmpty() && (now / rules.overloadWindow() + settings.rank()) % turns == 0;
-        }
-        return member.spent.stream().mapToDouble(Spent::work).sum() + work <= share;
+        double turn = now / rules.overloadWindow() * TURN + settings.rank() / (double) settings.routers();
+        return member.spent.stream().mapToDouble(Spent::work).sum() + work <= share + turn % 1 * work;
     }
 
     /**
@@ -566,7 +563,6 @@
         request.attempts.add(attempt);
         request.tried.add(member);
         request.out = attempt;
-        request.recalled = false;
         request.unanswered++;
         member.open.add(attempt);
         member.sentAt = now;
@@ -643,8 +639,7 @@
     }
 
     private void recall(Request request) {
-        if (settings.limits().cancel() && request.out != null && !request.recalled && !request.begun) {
-            request.recalled = true;
+        if (settings.limits().cancel() && request.out != null && !request.begun) {
             actions.add(new Cancel(request.arrival.request(), request.out.number()));
         }
     }
@@ -672,10 +667,13 @@
                 watchSilence(member);
                 probeWhenDue(member);
             }
-            boolean warm = age(member) >= settings.rules().warmAfter();
-            peakRate.merge(member.kind, warm ? member.servedRate : 0, Math::max);
             member.servedRate *= Math.exp(-beat / RATE_TIME);
         }
+        for (Kind kind : kinds.values()) {
+            kind.peakRate = Math.max(kind.peakRate, members.values().stream()
+                .filter(m -> m.kind == kind && usable(m) && age(m) >= settings.rules().warmAfter())
+                .mapToDouble(m -> m.servedRate).average().orElse(0));
+        }
     }
 
     /**
@@ -684,13 +682,11 @@
      */
     private void watchSilence(Member member) {
         double missing = 0;
-        long longest = 0;
         for (Attempt attempt : member.open) {
             long silent = now - Math.max(attempt.sentAt(), member.answeredAt);
-            longest = Math.max(longest, silent);
             missing += silent / (attempt.request().kind.aim() * strain(member));
         }
-        if (missing < SILENCE || longest < LEAST_SILENCE) {
+        if (missing < SILENCE) {
             return;
         }
         if (member.suspectSince == NONE) {
@@ -709,32 +705,23 @@
         }
     }
 
+    /** Urgently only what a request has asked for since: many routers' probes would cost more than that. */
     private void probeWhenDue(Member member) {
-        if (member.probing) {
-            return;
-        }
-        if (member.roundAt == Long.MIN_VALUE || now - member.roundAt >= PROBE_PERIOD) {
+        Member primary = member.group.primary;
+        boolean nearBound = settings.data().probesTellPosition() && lag(member) > NEAR_BOUND * tightestBound;
+        boolean noPrimary = primary == null || !usable(primary) || primary.suspectSince != NONE;
+        if (now - member.roundAt >= PROBE_PERIOD && !member.probing) {
             member.roundAt = now;
             member.pingsLeft = PINGS;
             probe(member);
-        } else if (wantsUrgentProbe(member)) {
+        } else if (member.group.askedAt > member.probedAt
+                && (nearBound || noPrimary || member.down || member.suspectSince != NONE)) {
             urgent(member);
         }
     }
 
-    /** Only what a request has asked for since: many routers' probes would cost more than their requests. */
-    private boolean wantsUrgentProbe(Member member) {
-        Group group = member.group;
-        boolean nearBound = settings.data().probesTellPosition() && lag(member) > NEAR_BOUND * tightestBound;
-        boolean noPrimary = group.primary == null || group.primary.down || group.primary.suspectSince != NONE
-            || group.primary.phase != Phase.SERVING;
-        return group.askedAt > member.probedAt
-            && (nearBound || noPrimary || member.down || member.suspectSince != NONE);
-    }
-
     private void urgent(Member member) {
-        if (!member.probing && member.phase == Phase.SERVING
-                && (member.probedAt == Long.MIN_VALUE || now - member.probedAt >= URGENT_GAP)) {
+        if (!member.probing && member.phase == Phase.SERVING && now - member.probedAt >= URGENT_GAP) {
             probe(member);
         }
     }
