Bound remembered session writes; test misleading lists, gaps and thin evidence; write up

Sessions past 20,000 are forgotten oldest first; what is forgotten counts as everybody's, so their reads get fresher data than they need.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -14,10 +14,9 @@
 /**
  * All decisions of a router. The interface, its events and its actions stand in RoutingPolicy.java.
  *
- * <p>The ordinary path is the design's: members are probed every five seconds for role, position and averaged
- * ping; a read goes to a random eligible replica among the near-fastest, on failure to the next and then to
- * the primary; a write goes to the member last seen as primary. All else is an exception to that path and
- * says what it guards against.
+ * <p>The ordinary path is the design's: members are probed every five seconds for role, position and ping; a
+ * read goes to a random eligible replica among the near-fastest, then the next, then the primary; a write to
+ * the member last seen as primary. All else is an exception that says what it guards against.
  */
 public final class Brain implements RoutingPolicy {
     private static final long MS = 1_000_000L;
@@ -69,6 +68,8 @@
     private static final double LEAST_BUDGET = 6;
     /** The golden section: turns that follow it are spread evenly over routers and over time. */
     private static final double TURN = 0.618034;
+    /** Sessions whose last write is remembered: some megabytes at most. */
+    private static final int MOST_SESSIONS = 20_000;
     /** First wait before asking for the list again after a failure; the rule gives the longest. */
     private static final long ASK_AGAIN = SECOND;
     /** Outcomes that only a member that answers can bring. */
@@ -124,7 +125,6 @@
         final List<Member> tried = new ArrayList<>();
         final List<Attempt> attempts = new ArrayList<>();
         Attempt out, mayHaveRun;
-        int unanswered;
         boolean begun, over;
 
         Request(Arrival arrival) {
@@ -140,7 +140,7 @@
             at = now - (told ? Math.max(0, kind.deadline() - arrival.timeLeft()) : 0);
             lastSend = kind.lateWorth() > 0 ? end : Math.min(end, at + kind.aim() - beat);
             needed = kind.need() == Need.FRESH ? now : arrival.sinceWrite() != NONE
-                ? now - arrival.sinceWrite() : sessionWrites.getOrDefault(arrival.session(), Long.MIN_VALUE);
+                ? now - arrival.sinceWrite() : lastWrites.getOrDefault(arrival.session(), forgotten);
         }
     }
 
@@ -155,12 +155,12 @@
     private final Map<Long, Group> groups = new LinkedHashMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
     private final Map<Integer, Kind> kinds = new HashMap<>();
-    private final Map<Long, Long> sessionWrites = new HashMap<>();
+    private final Map<Long, Long> lastWrites = new LinkedHashMap<>();
     private final List<Request> pending = new ArrayList<>();
     private List<Action> actions = new ArrayList<>();
     private boolean stood;
     private long now, startedAt = Long.MIN_VALUE, nextBeat = Long.MIN_VALUE;
-    private long askAt = Long.MAX_VALUE, askWait = ASK_AGAIN;
+    private long askAt = Long.MAX_VALUE, askWait = ASK_AGAIN, forgotten = Long.MIN_VALUE;
 
     public Brain(Settings settings, long seed) {
         this.settings = settings;
@@ -316,7 +316,6 @@
         if (attempt == null) {
             return;
         }
-        request.unanswered--;
         request.out = null;
         Member member = attempt.member();
         member.open.remove(attempt);
@@ -324,7 +323,11 @@
         learnRole(member, outcome.role(), now);
         learnPosition(member, outcome.position());
         if (outcome.result() == Result.OK && request.kind.need() == Need.WRITE) {
-            sessionWrites.merge(request.arrival.session(), outcome.position(), Math::max);
+            lastWrites.merge(request.arrival.session(), outcome.position(), Math::max);
+            // What is forgotten counts as everybody's: reads get fresher data than they need, never older.
+            if (lastWrites.size() > MOST_SESSIONS) {
+                forgotten = Math.max(forgotten, lastWrites.remove(lastWrites.keySet().iterator().next()));
+            }
         }
         if (request.over || outcome.complete()) {
             close(request);
@@ -563,7 +566,6 @@
         request.attempts.add(attempt);
         request.tried.add(member);
         request.out = attempt;
-        request.unanswered++;
         member.open.add(attempt);
         member.sentAt = now;
         member.spent.add(new Spent(now, work(request)));
@@ -646,7 +648,7 @@
 
     private void close(Request request) {
         request.over = true;
-        if (request.unanswered == 0) {
+        if (request.out == null) {
             requests.remove(request.arrival.request());
         }
     }
--- a/src/test/java/ledgewall/BrainTest.java
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -171,6 +171,19 @@
         assertEquals(List.of("a"), sends(bench.ask(0)));
     }
 
+    @Test
+    void aSessionForgottenAmongManyStillReadsItsWrite() {
+        Bench bench = withReads(Need.SESSION, false);
+        bench.now += 2 * SECOND;
+        for (int session = 1; session <= 20_010; session++) {
+            bench.feed(new Arrival(session, WRITE, 0, 1, session, 5 * SECOND, RoutingPolicy.NONE, false));
+            bench.feed(new Outcome(session, 0, "p", Result.OK, MS, true, Role.PRIMARY, bench.now, null));
+        }
+        bench.log.clear();
+        bench.feed(new Arrival(30_000, 0, 0, 1, 1, 700 * MS, RoutingPolicy.NONE, false));
+        assertEquals(List.of("p"), sends(bench.log));
+    }
+
     // Rule 1: one final answer, in time
 
     @Test
@@ -491,6 +504,142 @@
         assertEquals(List.of(15 * MS), waits);
     }
 
+    @Test
+    void whatComesAfterTheRoutersOwnPauseIsNoSlownessOfTheMembers() {
+        int[] sent = new int[2];
+        for (int i = 0; i < 2; i++) {
+            Bench bench = new Bench(settings()).ready();
+            for (int round = 0; round < 8; round++) {
+                List<Send> sends = new ArrayList<>();
+                for (int j = 0; j < 4; j++) {
+                    bench.ask(ANY).stream().filter(Send.class::isInstance).forEach(a -> sends.add((Send) a));
+                }
+                // Both times an answer takes 450 ms; in one the router itself stood still meanwhile.
+                if (i == 0) {
+                    bench.now += 450 * MS;
+                } else {
+                    bench.pass(450 * MS);
+                }
+                List<Event> answers = new ArrayList<>();
+                sends.forEach(a -> answers.add(new Outcome(a.request(), 0, a.member(), Result.OK, 450 * MS, true,
+                    Role.REPLICA, RoutingPolicy.NONE, null)));
+                bench.feed(answers.toArray(Event[]::new));
+                bench.pass(20 * MS);
+            }
+            bench.log.clear();
+            for (int j = 0; j < 40; j++) {
+                bench.ask(ANY);
+            }
+            sent[i] = sends(bench.log).size();
+        }
+        assertTrue(sent[0] > sent[1], sent[0] + " and " + sent[1]);
+    }
+
+    @Test
+    void aSlowKindOfMachineGetsFewerReadsThanAFastOne() {
+        Bench bench = new Bench(settings());
+        bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("p"), line("a"), line("b"),
+            new Listing("c", 1, 0, 1, Phase.SERVING, 1, false, 0),
+            new Listing("d", 1, 0, 1, Phase.SERVING, 1, false, 0))));
+        bench.echoAll();
+        bench.echo("c", Role.REPLICA, bench.now);
+        bench.echo("d", Role.REPLICA, bench.now);
+        Map<String, Integer> reads = new TreeMap<>();
+        for (int i = 0; i < 400; i++) {
+            String member = sends(bench.ask(ANY)).get(0);
+            boolean slow = member.equals("c") || member.equals("d");
+            bench.pass(50 * MS);
+            bench.feed(new Outcome(bench.lastRequest(), 0, member, Result.OK, slow ? 190 * MS : 60 * MS, true,
+                Role.REPLICA, RoutingPolicy.NONE, null));
+            reads.merge(slow ? "slow" : "fast", 1, Integer::sum);
+        }
+        assertTrue(reads.get("fast") > 4 * reads.get("slow"), reads.toString());
+    }
+
+    // Lists and moments that mislead
+
+    @Test
+    void aListThatNamesNobodyEndsServiceOnlyWhereAbsenceBinds() {
+        for (boolean drainBindsAlone : new boolean[] {false, true}) {
+            Settings base = settings();
+            Rules rules = new Rules(20 * MS, 10 * SECOND, 500 * MS, drainBindsAlone, 0.2, 10 * SECOND, 3, 2 * SECOND);
+            Bench bench = new Bench(new Settings(2, 0, 0, 5 * MS, false, base.classes(), List.of(), 1, base.limits(),
+                base.data(), rules)).ready();
+            bench.feed(new MemberList(ListKind.FULL, List.of()));
+            assertEquals(drainBindsAlone ? 1 : 0, sends(bench.ask(ANY)).size());
+            bench.feed(new MemberList(ListKind.FULL, List.of(line("p"), line("a"), line("b"))));
+            assertEquals(1, sends(bench.ask(ANY)).size());
+        }
+    }
+
+    @Test
+    void anOldListThatComesAgainUndoesNoDrainThatItDoesNotName() {
+        Bench bench = new Bench(settings()).ready();
+        bench.feed(new MemberList(ListKind.CHANGES, List.of(line("a", Phase.DRAINING, 0))));
+        bench.feed(new MemberList(ListKind.CHANGES, List.of(line("ghost"), line("b"))));
+        for (int i = 0; i < 20; i++) {
+            bench.ask(ANY);
+        }
+        assertFalse(sends(bench.log).contains("a"));
+    }
+
+    @Test
+    void aMemberThatDoesNotExistCostsOneAttemptUntilAProbeSucceeds() {
+        Bench bench = new Bench(settings());
+        bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("ghost"), line("a"))));
+        bench.echo("a", Role.REPLICA, bench.now);
+        bench.feed(new ProbeResult("ghost", Result.NOT_CONNECTED, 250 * MS, null));
+        for (int i = 0; i < 20; i++) {
+            bench.ask(ANY);
+            bench.outcome(bench.lastRequest(), 0, "a", Result.OK, Role.REPLICA);
+        }
+        assertEquals(20, sends(bench.log).size());
+        assertFalse(sends(bench.log).contains("ghost"));
+    }
+
+    @Test
+    void timersAnswersAndEndsThatComeAtOnceAfterALongGapAreAllAnswered() {
+        Bench bench = new Bench(settings()).ready();
+        bench.ask(ANY);
+        String member = sends(bench.log).get(0);
+        bench.ask(WRITE);
+        bench.now += 60 * SECOND;
+        List<Action> actions = bench.feed(new TimerDue(0), new TimerDue(0),
+            new Outcome(1, 0, member, Result.TIMED_OUT, 700 * MS, false, Role.UNKNOWN, RoutingPolicy.NONE, null),
+            new Lapsed(1), new Outcome(2, 0, "p", Result.TIMED_OUT, 5 * SECOND, false, Role.UNKNOWN,
+                RoutingPolicy.NONE, null), bench.arrival(ANY, 700 * MS));
+        assertEquals(List.of(2L), actions.stream().filter(Fail.class::isInstance)
+            .map(a -> ((Fail) a).request()).toList());
+        assertEquals(1, sends(actions).size() + count(actions, Refuse.class));
+    }
+
+    @Test
+    void aGroupThatGrowsFromOneMomentToTheNextSharesItsReads() {
+        Bench bench = new Bench(settings()).ready();
+        bench.feed(new MemberList(ListKind.CHANGES, List.of(line("c"))));
+        bench.echo("c", Role.REPLICA, bench.now);
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 60; i++) {
+            String member = sends(bench.ask(ANY)).get(0);
+            used.add(member);
+            bench.outcome(bench.lastRequest(), 0, member, Result.OK, Role.REPLICA);
+        }
+        assertEquals(Set.of("a", "b", "c"), used);
+    }
+
+    @Test
+    void oneOfAHundredRoutersAndARouterAloneBothServe() {
+        for (int routers : new int[] {1, 100}) {
+            Bench bench = new Bench(settings(routers, routers - 1)).ready();
+            for (int i = 0; i < 10; i++) {
+                String member = sends(bench.ask(ANY)).get(0);
+                bench.outcome(bench.lastRequest(), 0, member, Result.OK, Role.REPLICA);
+                bench.pass(SECOND);
+            }
+            assertEquals(10, sends(bench.log).size());
+        }
+    }
+
     @Test
     void theSameEventsBringTheSameActions() {
         Bench one = new Bench(settings()).ready();
