Let an attempt that is out for two aims hold no place in a window

It should also meet hung primaries. Harm: a queue longer than two aims no longer holds its router back by itself; its late answers still narrow the window.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -37,6 +37,8 @@
     private static final double SILENCE = 20;
     /** A timer later than this tells of a pause of the router itself: many ticks, far less than an aim. */
     private static final long STANDSTILL = 50 * MS;
+    /** An attempt out for this many aims is taken for lost: it holds no place any more. */
+    private static final long LOST = 2;
     /** A member under suspicion is offered one request in this time. */
     private static final long TRIAL_GAP = 500 * MS;
     /** A member's answers should take this part of their aims: the rest is for the long tail of work. */
@@ -248,9 +250,7 @@
                 member.suspectSince = NONE;
                 member.window = COLD_WINDOW / settings.routers();
             }
-            if (line.phase() != Phase.GONE || !lenient) {
-                member.phase = line.phase();
-            }
+            member.phase = line.phase() == Phase.GONE && lenient ? member.phase : line.phase();
             if (line.primary()) {
                 boolean late = settings.data().listedRole() == ListedRole.LATE;
                 learnRole(member, Role.PRIMARY, late ? now - LIST_AGE : Long.MIN_VALUE + 1);
@@ -471,8 +471,8 @@
     private boolean room(Request request, Member member, double part) {
         double window = member.window * part;
         double usual = strain(member) * request.kind.aim();
-        return member.open.isEmpty() ? window >= 1 || now - member.sentAt >= usual / window
-            : member.open.size() < window;
+        long out = member.open.stream().filter(a -> now - a.sentAt() < LOST * a.request().kind.aim()).count();
+        return out == 0 ? window >= 1 || now - member.sentAt >= usual / window : out < window;
     }
 
     private boolean usable(Member member) {
--- a/src/test/java/ledgewall/BrainTest.java
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -535,6 +535,15 @@
         assertTrue(sent[0] > sent[1], sent[0] + " and " + sent[1]);
     }
 
+    @Test
+    void anAttemptThatIsLostHoldsNoPlaceForTheRestOfItsTime() {
+        Bench bench = new Bench(settings(30, 0)).ready();
+        assertEquals(List.of("p"), sends(bench.ask(WRITE)));
+        bench.pass(500 * MS);
+        assertEquals(List.of(), sends(bench.ask(WRITE)));
+        assertEquals(List.of("p"), sends(bench.pass(500 * MS)));
+    }
+
     @Test
     void aSlowKindOfMachineGetsFewerReadsThanAFastOne() {
         Bench bench = new Bench(settings());
