Take a long wait beside answers in time for a lost answer, not for load

Cause: a sample now weighs 0.3, so one lost answer put a member's strain past its aim and narrowed its windows while servers stood idle. Told by what else the member answered: others sent later, in time. Where its answers are late as well, a time-out narrows as before. Harm: a member that stalls some of its requests for good keeps its windows.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -37,7 +37,7 @@
     private static final double SILENCE = 20;
     /** A timer later than this tells of a pause of the router itself: many ticks, far less than an aim. */
     private static final long STANDSTILL = 50 * MS;
-    /** An attempt out for this many aims is taken for lost: it holds no place any more. */
+    /** An attempt out for this many aims is taken for lost: it holds no place any more, nor is it load. */
     private static final long LOST = 2;
     /** A member under suspicion is offered one request in this time. */
     private static final long TRIAL_GAP = 500 * MS;
@@ -182,8 +182,7 @@
             startedAt = nextBeat = now;
             askAt = settings.askForList() ? now : Long.MAX_VALUE;
         }
-        // Guards against the router's own pauses, which tell by its late timer: what comes at once after one
-        // took no longer at the members. Harm: a late timer alone hides one batch of evidence.
+        // The router's own pause, told by its late timer, is no slowness of members. Harm: one batch unread.
         stood = now > nextBeat + STANDSTILL;
         members.values().stream().filter(m -> stood).forEach(m -> m.answeredAt = now);
         events.forEach(this::learn);
@@ -360,8 +359,12 @@
             }
             case REJECTED -> narrow(member);
             case TIMED_OUT, CANCELLED -> {
-                sample(member, Math.max(strain, strain(member)));
-                narrow(member);
+                // Where others were answered meanwhile, in time, a long wait is a lost answer and no load.
+                if (outcome.elapsed() < LOST * attempt.request().kind.aim()
+                        || member.answeredAt <= attempt.sentAt() || strain(member) >= STRAIN_AIM) {
+                    sample(member, Math.max(strain, strain(member)));
+                    narrow(member);
+                }
             }
             case NOT_CONNECTED -> lose(member, true);
             case RESET -> urgent(member); // one broken connection is no dead member: a probe tells
@@ -420,9 +423,8 @@
                 ? primary : null;
         }
         // Only an answer can tell who is primary: now and then a held write asks, to be turned away if wrong.
-        boolean probesTell = settings.data().probesTellRole() && settings.limits().probes();
-        int spare = settings.limits().maxAttempts() - request.attempts.size();
-        if (probesTell || now < group.askDue || spare <= 1) {
+        if (settings.data().probesTellRole() && settings.limits().probes() || now < group.askDue
+                || request.attempts.size() + 1 >= settings.limits().maxAttempts()) {
             return null;
         }
         group.askDue = now + URGENT_GAP;
@@ -658,12 +660,8 @@
             askAt = Long.MAX_VALUE;
             actions.add(new Subscribe());
         }
-        for (Request request : List.copyOf(requests.values())) {
-            long due = request.out == null ? request.lastSend : request.end;
-            if (!request.over && !request.begun && now >= due) {
-                end(request);
-            }
-        }
+        List.copyOf(requests.values()).stream().filter(r -> !r.over && !r.begun)
+            .filter(r -> now >= (r.out == null ? r.lastSend : r.end)).forEach(this::end);
         for (Member member : members.values()) {
             if (member.phase == Phase.SERVING) {
                 watchSilence(member);
--- a/src/test/java/ledgewall/BrainTest.java
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -544,6 +544,33 @@
         assertEquals(List.of("p"), sends(bench.pass(500 * MS)));
     }
 
+    @Test
+    void lostAnswersNarrowNothingWhileOthersAreAnsweredInTime() {
+        int[] sent = new int[2];
+        for (int i = 0; i < 2; i++) {
+            Bench bench = new Bench(settings()).ready();
+            for (int round = 0; round < 5; round++) {
+                bench.ask(WRITE);
+                long lost = bench.lastRequest();
+                bench.pass(100 * MS);
+                if (i == 0) { // another is answered meanwhile
+                    bench.ask(WRITE);
+                    bench.feed(new Outcome(bench.lastRequest(), 0, "p", Result.OK, 75 * MS, true, Role.PRIMARY,
+                        bench.now, null));
+                }
+                bench.pass(700 * MS);
+                bench.feed(new Outcome(lost, 0, "p", Result.TIMED_OUT, 800 * MS, false, Role.UNKNOWN,
+                    RoutingPolicy.NONE, null));
+            }
+            bench.log.clear();
+            for (int j = 0; j < 40; j++) {
+                bench.ask(WRITE);
+            }
+            sent[i] = sends(bench.log).size();
+        }
+        assertTrue(sent[0] >= 2 * sent[1] && sent[1] > 0, sent[0] + " and " + sent[1]);
+    }
+
     @Test
     void aSlowKindOfMachineGetsFewerReadsThanAFastOne() {
         Bench bench = new Bench(settings());
