--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -37,7 +37,7 @@
     private static final double SILENCE = 20;
     /** A timer later than this tells of a pause of the router itself: many ticks, far less than an aim. */
     private static final long STANDSTILL = 50 * MS;
-    /** An attempt out for this many aims is taken for lost: it holds no place any more, nor is it load. */
+    /** An attempt out for this many aims, where others are answered in time, is lost: no place, no load. */
     private static final long LOST = 2;
     /** A member under suspicion is offered one request in this time. */
     private static final long TRIAL_GAP = 500 * MS;
@@ -473,7 +473,9 @@
     private boolean room(Request request, Member member, double part) {
         double window = member.window * part;
         double usual = strain(member) * request.kind.aim();
-        long out = member.open.stream().filter(a -> now - a.sentAt() < LOST * a.request().kind.aim()).count();
+        boolean slow = strain(member) >= STRAIN_AIM; // else what is out for long is lost: it holds no place
+        long out = member.open.stream().filter(a -> slow || now < a.sentAt() + LOST * a.request().kind.aim())
+            .count();
         return out == 0 ? window >= 1 || now - member.sentAt >= usual / window : out < window;
     }
 
