--- a/src/main/java/ledgewall/Main.java
+++ b/src/main/java/ledgewall/Main.java
@@ -1,8 +1,11 @@
 package ledgewall;
 
 import java.io.IOException;
+import java.nio.file.Path;
+import ledgewall.net.Router;
+import ledgewall.net.RouterConfig;
+import ledgewall.settings.FormatException;
 import ledgewall.simhost.SimHost;
-import ledgewall.simhost.WireException;
 
 /** The command line. */
 public final class Main {
@@ -20,19 +23,42 @@
     }
 
     static int run(String[] args) {
-        if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: ledgewall simhost");
-            System.err.println("  simhost   decide for the instances of a simulator, on standard input and output");
-            return EXIT_USAGE;
-        }
+        String command = args.length == 1 ? args[0] : "";
         try {
-            new SimHost(Brain::new).serve(System.in, System.out);
+            switch (command) {
+                case "serve" -> serve(System.getenv("ROUTER_CONFIG"));
+                case "simhost" -> new SimHost(Brain::new).serve(System.in, System.out);
+                default -> {
+                    System.err.println("usage: ledgewall serve | simhost");
+                    System.err.println("  serve     run one router, configured by the file that ROUTER_CONFIG names");
+                    System.err.println("  simhost   decide for a simulator's instances, on standard input and output");
+                    return EXIT_USAGE;
+                }
+            }
             return 0;
-        } catch (WireException e) {
+        } catch (FormatException e) {
             System.err.println("ledgewall: " + e.getMessage());
         } catch (IOException e) {
-            System.err.println("ledgewall: input or output failed: " + e.getMessage());
+            System.err.println("ledgewall: input or output failed: " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
         return EXIT_FAILURE;
     }
+
+    private static void serve(String config) throws IOException, InterruptedException {
+        if (config == null) {
+            throw new FormatException("the environment names no ROUTER_CONFIG");
+        }
+        Router router = Router.start(RouterConfig.read(Path.of(config)), Brain::new);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            router.drain();
+            try {
+                router.awaitClosed();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "ledgewall-drain"));
+        router.awaitClosed();
+    }
 }
--- /dev/null
+++ b/src/main/java/ledgewall/net/ClientConnection.java
@@ -0,0 +1,241 @@
+package ledgewall.net;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import ledgewall.pg.ClientMessage;
+import ledgewall.pg.Frame;
+import ledgewall.pg.FrameReader;
+import ledgewall.pg.MessageWriter;
+import ledgewall.pg.ProtocolException;
+import ledgewall.pg.SqlState;
+import ledgewall.pg.Statement;
+import org.apache.mina.core.session.IoSession;
+
+/** A client's connection: its commands are answered one by one, in their order. */
+final class ClientConnection implements Endpoint {
+    /** A statement with a value of 64 KiB in hexadecimal digits, and room beside it. */
+    private static final int LONGEST_MESSAGE = 192 * 1024;
+    /** Commands in hand from which on nothing more is read until some are answered. */
+    private static final int MOST_PIPELINED = 16;
+
+    /** What takes requests in. */
+    interface Owner {
+        /** Whether the connection may stay. */
+        boolean admit(ClientConnection connection);
+
+        ClientRequest take(Statement statement, Slot slot, long at);
+
+        /** The client of this request has gone. */
+        void lapsed(ClientRequest request);
+
+        void left(ClientConnection connection);
+    }
+
+    private final Wiring wiring;
+    private final Owner owner;
+    private final FrameReader frames = FrameReader.ofClient(LONGEST_MESSAGE);
+    private final Deque<Slot> slots = new ArrayDeque<>();
+    private IoSession session;
+    private boolean admitted;
+    private boolean closed;
+    private boolean skipping;
+    private boolean closing;
+    private boolean closesAfterAnswer;
+
+    /** The place of one command's answer. */
+    final class Slot {
+        private ClientRequest request;
+        private byte[] message;
+        private boolean last;
+
+        void fill(byte[] answer) {
+            message = answer;
+            flush();
+        }
+    }
+
+    ClientConnection(Wiring wiring, Owner owner) {
+        this.wiring = wiring;
+        this.owner = owner;
+    }
+
+    @Override
+    public void opened(IoSession opened) {
+        session = opened;
+        admitted = owner.admit(this);
+        if (!admitted) {
+            close();
+        }
+    }
+
+    @Override
+    public void written() {
+        if (!closed && session.isReadSuspended() && mayRead()) {
+            session.resumeRead();
+        }
+    }
+
+    @Override
+    public Runnable receive(ByteBuffer bytes, long at) {
+        List<ClientMessage> messages = new ArrayList<>();
+        try {
+            List<Frame> received = new ArrayList<>();
+            try {
+                frames.feed(bytes, received::add);
+            } finally {
+                for (Frame frame : received) {
+                    messages.add(ClientMessage.of(frame));
+                }
+            }
+        } catch (ProtocolException e) {
+            return () -> {
+                take(messages, at);
+                fatal(e.getMessage());
+            };
+        }
+        return () -> take(messages, at);
+    }
+
+    private void take(List<ClientMessage> messages, long at) {
+        for (ClientMessage message : messages) {
+            if (closed || closing && !slots.isEmpty() && slots.peekLast().last) {
+                return;
+            }
+            take(message, at);
+        }
+        if (!closed && !mayRead()) {
+            session.suspendRead();
+        }
+    }
+
+    private void take(ClientMessage message, long at) {
+        if (message instanceof ClientMessage.Query query && !skipping) {
+            query(query.statement(), at);
+        } else if (message instanceof ClientMessage.Startup startup) {
+            start(startup);
+        } else if (message instanceof ClientMessage.EncryptionRequest) {
+            push(new byte[] {'N'});
+        } else if (message instanceof ClientMessage.CancelRequest || message instanceof ClientMessage.Terminate) {
+            close();
+        } else if (message instanceof ClientMessage.Sync) {
+            skipping = false;
+            push(MessageWriter.readyForQuery());
+        } else if (message instanceof ClientMessage.Extended && !skipping) {
+            skipping = true;
+            push(MessageWriter.error(SqlState.NOT_SUPPORTED, "the extended query protocol is not supported"));
+        } else if (message instanceof ClientMessage.EmptyQuery && !skipping) {
+            push(MessageWriter.join(MessageWriter.emptyQueryResponse(), MessageWriter.readyForQuery()));
+        } else if (message instanceof ClientMessage.Unserved unserved && !skipping) {
+            refuse(unserved.sqlState(), unserved.reason());
+        }
+    }
+
+    private void start(ClientMessage.Startup startup) {
+        push(startup.minor() == 0 ? MessageWriter.welcome()
+            : MessageWriter.join(MessageWriter.negotiateVersion(), MessageWriter.welcome()));
+    }
+
+    private void query(Statement statement, long at) {
+        Slot slot = new Slot();
+        slots.add(slot);
+        slot.request = owner.take(statement, slot, at);
+    }
+
+    /** An ordinary error to one command. */
+    private void refuse(String sqlState, String reason) {
+        wiring.counters().add(Counters.Count.BAD_QUERIES);
+        push(MessageWriter.join(MessageWriter.error(sqlState, reason), MessageWriter.readyForQuery()));
+    }
+
+    private void push(byte[] message) {
+        Slot slot = new Slot();
+        slots.add(slot);
+        slot.fill(message);
+    }
+
+    /** What is in hand is answered first. */
+    private void fatal(String reason) {
+        if (closed) {
+            return;
+        }
+        wiring.counters().add(Counters.Count.BAD_CLIENTS);
+        Slot slot = new Slot();
+        slot.last = true;
+        slots.add(slot);
+        closing = true;
+        session.suspendRead();
+        slot.fill(MessageWriter.fatal(SqlState.PROTOCOL_VIOLATION, reason));
+    }
+
+    /** Writes the answers that are next in order. */
+    private void flush() {
+        while (!closed && !slots.isEmpty() && slots.peekFirst().message != null) {
+            Slot slot = slots.pollFirst();
+            wiring.transport().write(session, slot.message);
+            closing |= closesAfterAnswer && slot.request != null;
+            if (slot.last) {
+                closeOnFlush();
+            }
+        }
+        if (!closed && closing && slots.isEmpty()) {
+            closeOnFlush();
+        }
+        if (!closed && session.isReadSuspended() && mayRead()) {
+            session.resumeRead();
+        }
+    }
+
+    private boolean mayRead() {
+        return !closing && slots.size() < MOST_PIPELINED && session.getScheduledWriteBytes() < LONGEST_MESSAGE;
+    }
+
+    /** Ends the connection after what it has in hand; at once if there is nothing. */
+    void closeAfterAnswers() {
+        closing = true;
+        if (!closed && slots.isEmpty()) {
+            closeOnFlush();
+        }
+    }
+
+    /** Ends the connection after the next request that it answers. */
+    void closeAfterNextAnswer() {
+        closesAfterAnswer = true;
+    }
+
+    private void closeOnFlush() {
+        session.closeOnFlush();
+        gone();
+    }
+
+    /** Ends the connection at once. */
+    void close() {
+        if (!closed) {
+            session.closeNow();
+            gone();
+        }
+    }
+
+    @Override
+    public void ended(long at) {
+        gone();
+    }
+
+    private void gone() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        for (Slot slot : slots) {
+            if (slot.request != null) {
+                owner.lapsed(slot.request);
+            }
+        }
+        slots.clear();
+        if (admitted) {
+            owner.left(this);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ledgewall/net/Clock.java
@@ -0,0 +1,48 @@
+package ledgewall.net;
+
+import java.time.Instant;
+import java.util.function.LongSupplier;
+
+/**
+ * The router's one clock: Unix nanoseconds, anchored once and advanced by the monotonic clock, so that it never
+ * goes back. All that comes with a Unix time is translated here.
+ */
+final class Clock {
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+    private final LongSupplier monotonic;
+    private final long offset;
+
+    private Clock(LongSupplier monotonic, long unixNanos) {
+        this.monotonic = monotonic;
+        this.offset = unixNanos - monotonic.getAsLong();
+    }
+
+    static Clock ofSystem() {
+        Instant now = Instant.now();
+        return new Clock(System::nanoTime, now.getEpochSecond() * NANOS_PER_SECOND + now.getNano());
+    }
+
+    static Clock of(LongSupplier monotonic, long unixNanos) {
+        return new Clock(monotonic, unixNanos);
+    }
+
+    long now() {
+        return monotonic.getAsLong() + offset;
+    }
+
+    /** A Unix time in milliseconds on this clock; 0 stays 0, for "long ago" and "none". */
+    static long ofUnixMillis(double millis) {
+        return !(millis > 0) ? 0 : (long) Math.floor(millis) * NANOS_PER_MILLI;
+    }
+
+    static long millis(long millis) {
+        return millis * NANOS_PER_MILLI;
+    }
+
+    /** Milliseconds of a span, rounded up. */
+    static long toMillis(long nanos) {
+        return Math.max(0, (nanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI);
+    }
+}
--- /dev/null
+++ b/src/main/java/ledgewall/net/Counters.java
@@ -0,0 +1,63 @@
+package ledgewall.net;
+
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.concurrent.atomic.LongAdder;
+
+/** What the router has taken in, sent and answered since its start. */
+final class Counters {
+    /** One thing that is counted. */
+    enum Count {
+        CLIENTS, CLIENTS_TURNED_AWAY, BAD_CLIENTS, REQUESTS, BAD_QUERIES, SERVED, REFUSED, FAILED, LAPSED, OVERDUE,
+        ATTEMPTS, PROBES, HOST_CONNECTIONS, BAD_HOSTS, RETIRED, BATCHES, EVENTS, LATE_BATCHES, LISTS, BAD_LISTS,
+        WATCHES, PEER_MESSAGES_IN, PEER_MESSAGES_OUT, BAD_PEER_MESSAGES
+    }
+
+    private final Map<Count, LongAdder> counts = new EnumMap<>(Count.class);
+    private final Map<Ending, LongAdder> endings = new EnumMap<>(Ending.class);
+
+    Counters() {
+        for (Count count : Count.values()) {
+            counts.put(count, new LongAdder());
+        }
+        for (Ending ending : Ending.values()) {
+            endings.put(ending, new LongAdder());
+        }
+    }
+
+    void add(Count count) {
+        counts.get(count).increment();
+    }
+
+    void add(Count count, long many) {
+        counts.get(count).add(many);
+    }
+
+    void addEnding(Ending ending) {
+        endings.get(ending).increment();
+    }
+
+    long of(Count count) {
+        return counts.get(count).sum();
+    }
+
+    long of(Ending ending) {
+        return endings.get(ending).sum();
+    }
+
+    /** One line: every counter that has counted, then how attempts ended. */
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder();
+        counts.forEach((count, value) -> append(text, count, value));
+        text.append(" | attempts ended:");
+        endings.forEach((ending, value) -> append(text, ending, value));
+        return text.toString().trim();
+    }
+
+    private static void append(StringBuilder text, Enum<?> name, LongAdder value) {
+        if (value.sum() != 0) {
+            text.append(' ').append(name.name().toLowerCase(java.util.Locale.ROOT)).append('=').append(value.sum());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ledgewall/net/Exchange.java
@@ -0,0 +1,18 @@
+package ledgewall.net;
+
+import ledgewall.pg.Reply;
+
+/** One query on a connection to a host, and what becomes of it. */
+interface Exchange {
+    /** The whole message to write, asked for when it is about to be written. */
+    byte[] query();
+
+    /** The query is about to be written. */
+    void begun(long at);
+
+    /** The row has come whole; the end is still to come. */
+    void served(Reply reply);
+
+    /** It is over; {@code reply} holds what has come of an answer. */
+    void ended(Ending ending, Reply reply, long at);
+}
--- /dev/null
+++ b/src/main/java/ledgewall/net/HostPool.java
@@ -0,0 +1,96 @@
+package ledgewall.net;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.Set;
+
+/** Connections to one member. The newest idle one goes first, so that those not needed grow old and retire. */
+final class HostPool {
+    /** Idle connections are retired at this part of the time after which the host would close them. */
+    private static final double RETIRE_AT = 0.9;
+
+    private final Wiring wiring;
+    private final Deque<HostConnection> idle = new ArrayDeque<>();
+    private final Set<HostConnection> retiring = new HashSet<>();
+    private final Set<HostConnection> all = new HashSet<>();
+    private InetSocketAddress address;
+
+    HostPool(Wiring wiring, InetSocketAddress address) {
+        this.wiring = wiring;
+        this.address = address;
+    }
+
+    /** From now on connects there; connections to the address before end with what they carry. */
+    void moveTo(InetSocketAddress other) {
+        if (!other.equals(address)) {
+            address = other;
+            closeIdle();
+            retiring.addAll(all);
+        }
+    }
+
+    /** Carries out an exchange on the newest idle connection or on a new one, which is returned. */
+    HostConnection run(Exchange exchange) {
+        retireOld();
+        HostConnection connection = idle.pollFirst();
+        if (connection != null) {
+            connection.start(exchange);
+            return connection;
+        }
+        connection = new HostConnection(wiring, this::release, this::forget);
+        all.add(connection);
+        connection.connect(address, exchange);
+        return connection;
+    }
+
+    boolean hasIdle() {
+        retireOld();
+        return !idle.isEmpty();
+    }
+
+    private void release(HostConnection connection) {
+        if (retiring.contains(connection)) {
+            connection.close();
+        } else {
+            idle.addFirst(connection);
+        }
+    }
+
+    private void forget(HostConnection connection) {
+        idle.remove(connection);
+        retiring.remove(connection);
+        all.remove(connection);
+    }
+
+    /** Closes the connections that the host will soon close itself. */
+    void retireOld() {
+        if (wiring.connIdle() <= 0) {
+            return;
+        }
+        long oldest = wiring.loop().now() - (long) (RETIRE_AT * wiring.connIdle());
+        while (!idle.isEmpty() && idle.peekLast().idleSince() <= oldest) {
+            wiring.counters().add(Counters.Count.RETIRED);
+            idle.peekLast().close();
+        }
+    }
+
+    /** When its oldest idle connection became idle. */
+    long oldestIdle() {
+        return idle.isEmpty() ? Long.MAX_VALUE : idle.peekLast().idleSince();
+    }
+
+    void closeOldestIdle() {
+        idle.peekLast().close();
+    }
+
+    void closeIdle() {
+        new ArrayList<>(idle).forEach(HostConnection::close);
+    }
+
+    void closeAll() {
+        new ArrayList<>(all).forEach(HostConnection::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/ledgewall/net/Router.java
@@ -0,0 +1,198 @@
+package ledgewall.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import ledgewall.RoutingPolicy;
+import ledgewall.RoutingPolicy.Action;
+import ledgewall.RoutingPolicy.ListKind;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One router: it serves from its start until it is drained or closed. Any program can embed it. */
+public final class Router implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Router.class);
+    /** How long new connections may still come after a planned stop has begun, and a little more. */
+    private static final long STILL_ACCEPTED = Clock.millis(450);
+    /** How often what has no timer of its own is looked after: connections that grow old. */
+    private static final long SWEEP = Clock.millis(1_000);
+
+    private final RouterConfig config;
+    private final Clock clock = Clock.ofSystem();
+    private final Counters counters = new Counters();
+    private final EventLoop loop = new EventLoop(clock, counters);
+    private final Transport transport = new Transport(clock, loop);
+    private final Members members;
+    private final Desk desk;
+    private final Discovery discovery;
+    private final Peers peers;
+    private final Wiring wiring;
+    private final Thread thread = new Thread(loop, "ledgewall-loop");
+    private final CountDownLatch closed = new CountDownLatch(1);
+    private boolean draining;
+    private boolean accepting = true;
+
+    private Router(RouterConfig config, RoutingPolicy.Factory factory) {
+        this.config = config;
+        this.wiring = new Wiring(loop, transport, new Descriptors(config.sockets()), counters,
+            config.transport().connectTimeout(), config.transport().connIdle());
+        this.members = new Members(wiring, config.vocabulary());
+        this.desk = new Desk(wiring, config, members);
+        this.discovery = new Discovery(wiring, config, members);
+        this.peers = new Peers(wiring, config);
+        loop.decideBy(factory.create(config.settings(), config.seed()), this::carryOut);
+    }
+
+    /** Starts a router and returns once it listens. */
+    public static Router start(RouterConfig config, RoutingPolicy.Factory factory) throws IOException {
+        Router router = new Router(config, factory);
+        try {
+            router.open();
+            return router;
+        } catch (IOException | RuntimeException e) {
+            router.close();
+            throw e;
+        }
+    }
+
+    private void open() throws IOException {
+        if (config.settings().limits().peers() && config.peerListen() != null) {
+            peers.open();
+        }
+        Members.check(config.known());
+        CompletableFuture<Void> ready = new CompletableFuture<>();
+        loop.post(() -> {
+            members.learn(config.known(), ListKind.REMEMBERED);
+            discovery.start();
+            sweep();
+            loop.post(() -> ready.complete(null)); // the turn after the one that decides on the known list
+        });
+        thread.setDaemon(true);
+        thread.start();
+        ready.join();
+        transport.listen(config.listen(), () -> new ClientConnection(wiring, desk));
+        LOG.info("{} listens on {}, {} members known", config.name(), listening(), config.known().members().size());
+    }
+
+    /** Where clients connect. */
+    public InetSocketAddress listening() {
+        return transport.listening();
+    }
+
+    /** Everything counted so far, on one line. */
+    public String counters() {
+        return counters.toString();
+    }
+
+    Counters counts() {
+        return counters;
+    }
+
+    private void carryOut(Action action) {
+        if (action instanceof RoutingPolicy.Send send) {
+            desk.send(send);
+        } else if (action instanceof RoutingPolicy.Refuse refuse) {
+            desk.refuse(refuse);
+        } else if (action instanceof RoutingPolicy.Fail fail) {
+            desk.fail(fail);
+        } else if (action instanceof RoutingPolicy.Cancel cancel) {
+            desk.cancel(cancel);
+        } else if (action instanceof RoutingPolicy.Probe probe) {
+            probe(probe.member());
+        } else if (action instanceof RoutingPolicy.SetTimer timer) {
+            loop.at(timer.at(), () -> loop.tell(new RoutingPolicy.TimerDue(timer.handle())));
+        } else if (action instanceof RoutingPolicy.Subscribe) {
+            discovery.subscribe();
+        } else if (action instanceof RoutingPolicy.FetchList) {
+            discovery.fetch();
+        } else if (action instanceof RoutingPolicy.Disconnect disconnect) {
+            disconnect(disconnect.member());
+        } else if (action instanceof RoutingPolicy.Tell tell) {
+            peers.tell(tell);
+        } else if (action instanceof RoutingPolicy.Note note) {
+            LOG.info("policy: {}", note.text());
+        } else {
+            throw new IllegalStateException("nothing carries out " + action);
+        }
+    }
+
+    private void probe(String member) {
+        Members.Host host = members.host(member);
+        if (host != null) {
+            new Probe(wiring, member, config.transport().reports()).start(host.probes());
+        }
+    }
+
+    private void disconnect(String member) {
+        Members.Host host = members.host(member);
+        if (host != null) {
+            host.requests().closeIdle();
+        }
+    }
+
+    private void sweep() {
+        members.retireOld();
+        loop.in(SWEEP, this::sweep);
+    }
+
+    /** Begins a planned stop: what was taken is answered, then the router closes. Returns at once. */
+    public void drain() {
+        loop.post(() -> {
+            if (draining) {
+                return;
+            }
+            draining = true;
+            LOG.info("{} drains", config.name());
+            desk.drain();
+            loop.in(STILL_ACCEPTED, this::stopAccepting);
+            long longest = config.transport().longestDeadline() + config.transport().answerSlack();
+            loop.in(STILL_ACCEPTED + longest, this::finish);
+        });
+    }
+
+    private void stopAccepting() {
+        accepting = false;
+        // not on the loop: unbinding waits for the acceptor's thread, which must not wait for the loop
+        Thread unbind = new Thread(transport::stopListening, "ledgewall-unbind");
+        unbind.start();
+        desk.closeIdleClients();
+        finishWhenDrained();
+    }
+
+    private void finishWhenDrained() {
+        if (!desk.hasClients()) {
+            loop.in(FLUSH, this::finish);
+        } else {
+            loop.in(FLUSH, this::finishWhenDrained);
+        }
+    }
+
+    /** Time in which the kernel takes the last answers. */
+    private static final long FLUSH = Clock.millis(10);
+
+    private void finish() {
+        desk.closeClients();
+        loop.stop();
+        new Thread(this::close, "ledgewall-close").start();
+    }
+
+    /** Waits until the router is closed. */
+    public void awaitClosed() throws InterruptedException {
+        closed.await();
+    }
+
+    /** Ends the router at once; what it holds is not answered. */
+    @Override
+    public void close() {
+        if (closed.getCount() == 0) {
+            return;
+        }
+        loop.stop();
+        loop.post(() -> { });
+        peers.close();
+        transport.close();
+        LOG.info("{} closed: {}", config.name(), counters);
+        closed.countDown();
+    }
+}
--- /dev/null
+++ b/src/main/java/ledgewall/net/RouterConfig.java
@@ -0,0 +1,93 @@
+package ledgewall.net;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import ledgewall.RoutingPolicy;
+import ledgewall.discovery.ListParser;
+import ledgewall.discovery.ListUpdate;
+import ledgewall.settings.Fields;
+import ledgewall.settings.FormatException;
+import ledgewall.settings.SettingsReader;
+import ledgewall.settings.TransportLimits;
+import ledgewall.settings.Vocabulary;
+
+/** All that one router is told before it starts. Addresses that are absent are null. */
+public record RouterConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, int sockets,
+                           InetSocketAddress peerListen, List<InetSocketAddress> peers, InetSocketAddress peersAll,
+                           ListUpdate known, RoutingPolicy.Settings settings, Vocabulary vocabulary,
+                           TransportLimits transport) {
+    private static final int HEX = 16;
+    private static final int DEFAULT_SOCKETS = 1024;
+    private static final int LAST_PORT = 65535;
+
+    /** Reads the configuration file; what is wrong with it is told by a {@link FormatException}. */
+    public static RouterConfig read(Path file) throws IOException {
+        return parse(Files.readAllBytes(file), file.getFileName().toString());
+    }
+
+    static RouterConfig parse(byte[] json, String where) throws IOException {
+        try (JsonParser parser = new JsonFactory().createParser(json)) {
+            if (parser.nextToken() != JsonToken.START_OBJECT) {
+                throw new FormatException(where + ": no JSON object");
+            }
+            return of(Fields.read(parser, where));
+        } catch (JsonProcessingException e) {
+            throw new FormatException(where + ": no JSON: " + e.getOriginalMessage());
+        }
+    }
+
+    private static RouterConfig of(Fields fields) {
+        if (!fields.has("settings")) {
+            throw new FormatException(fields.where() + ": lacks 'settings'");
+        }
+        Fields settings = fields.object("settings");
+        ListUpdate known = fields.has("known") ? ListParser.read(fields.object("known"))
+            : new ListUpdate(0, true, List.of());
+        List<InetSocketAddress> peers = fields.elements("peers").stream()
+            .map(peer -> address(fields.where(), "peers", peer.toString())).toList();
+        return new RouterConfig(
+            fields.text("name", "router"), required(fields, "listen"), required(fields, "discovery"),
+            seed(fields), (int) fields.object("limits").integer("sockets", DEFAULT_SOCKETS),
+            optional(fields, "peer_listen"), peers, optional(fields, "peers_all"), known,
+            SettingsReader.settings(settings), SettingsReader.vocabulary(settings),
+            SettingsReader.transportLimits(settings));
+    }
+
+    private static long seed(Fields fields) {
+        String text = fields.text("seed", "0");
+        try {
+            return Long.parseUnsignedLong(text, HEX);
+        } catch (NumberFormatException e) {
+            throw new FormatException(fields.where() + ": 'seed' is no hexadecimal number");
+        }
+    }
+
+    private static InetSocketAddress required(Fields fields, String name) {
+        return address(fields.where(), name, fields.text(name));
+    }
+
+    private static InetSocketAddress optional(Fields fields, String name) {
+        return fields.has(name) ? address(fields.where(), name, fields.text(name)) : null;
+    }
+
+    /** An address and port as text; names are not looked up. */
+    static InetSocketAddress address(String where, String name, String text) {
+        int colon = text.lastIndexOf(':');
+        try {
+            int port = Integer.parseInt(text.substring(colon + 1));
+            if (colon > 0 && port >= 0 && port <= LAST_PORT && text.substring(0, colon).matches("[0-9.]+")) {
+                return new InetSocketAddress(text.substring(0, colon), port);
+            }
+        } catch (NumberFormatException e) {
+            // told below
+        }
+        throw new FormatException(where + ": '" + name + "' is no address and port: " + text);
+    }
+}
--- /dev/null
+++ b/src/main/java/ledgewall/net/Transport.java
@@ -0,0 +1,142 @@
+package ledgewall.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+import org.apache.mina.core.buffer.IoBuffer;
+import org.apache.mina.core.future.ConnectFuture;
+import org.apache.mina.core.service.IoHandlerAdapter;
+import org.apache.mina.core.service.IoProcessor;
+import org.apache.mina.core.service.SimpleIoProcessorPool;
+import org.apache.mina.core.session.IoSession;
+import org.apache.mina.core.session.IoSessionConfig;
+import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioProcessor;
+import org.apache.mina.transport.socket.nio.NioSession;
+import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
+import org.apache.mina.transport.socket.nio.NioSocketConnector;
+
+/** MINA's side: one I/O processor for what is accepted and what is connected; it only parses and queues. */
+final class Transport {
+    private static final String ENDPOINT = "ledgewall.endpoint";
+    private static final int BACKLOG = 512;
+    private static final int READ_BUFFER = 2 * 1024;
+    private static final int LARGEST_READ_BUFFER = 16 * 1024;
+
+    private final Clock clock;
+    private final EventLoop loop;
+    private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+    private final NioSocketConnector connector = new NioSocketConnector(processor);
+    private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processor);
+
+    Transport(Clock clock, EventLoop loop) {
+        this.clock = clock;
+        this.loop = loop;
+        connector.setHandler(new Handler(null));
+        configure(connector.getSessionConfig());
+        configure(acceptor.getSessionConfig());
+        acceptor.setReuseAddress(true);
+        acceptor.setBacklog(BACKLOG);
+        acceptor.setCloseOnDeactivation(false);
+    }
+
+    private static void configure(IoSessionConfig config) {
+        config.setReadBufferSize(READ_BUFFER);
+        config.setMaxReadBufferSize(LARGEST_READ_BUFFER);
+        ((SocketSessionConfig) config).setTcpNoDelay(true);
+    }
+
+    /** Accepts connections from now on; each gets an endpoint of its own. */
+    void listen(InetSocketAddress address, Supplier<Endpoint> endpoints) throws IOException {
+        acceptor.setHandler(new Handler(endpoints));
+        acceptor.bind(address);
+    }
+
+    InetSocketAddress listening() {
+        return acceptor.getLocalAddress();
+    }
+
+    void stopListening() {
+        acceptor.unbind();
+    }
+
+    /** Begins a connection; {@code failed} is for the loop, if it does not come up. */
+    ConnectFuture connect(InetSocketAddress address, Endpoint endpoint, Runnable failed) {
+        ConnectFuture future = connector.connect(address,
+            (session, connecting) -> session.setAttribute(ENDPOINT, endpoint));
+        future.addListener(done -> {
+            if (!((ConnectFuture) done).isConnected()) {
+                loop.post(failed);
+            }
+        });
+        return future;
+    }
+
+    void write(IoSession session, byte[] bytes) {
+        session.write(IoBuffer.wrap(bytes));
+    }
+
+    /** Ends all connections and threads. */
+    void close() {
+        acceptor.dispose(false);
+        connector.dispose(false);
+        processor.dispose();
+    }
+
+    private final class Handler extends IoHandlerAdapter {
+        private final Supplier<Endpoint> endpoints;
+
+        private Handler(Supplier<Endpoint> endpoints) {
+            this.endpoints = endpoints;
+        }
+
+        private Endpoint of(IoSession session) {
+            return (Endpoint) session.getAttribute(ENDPOINT);
+        }
+
+        @Override
+        public void sessionCreated(IoSession session) {
+            if (endpoints != null) {
+                session.setAttribute(ENDPOINT, endpoints.get());
+            }
+        }
+
+        @Override
+        public void sessionOpened(IoSession session) {
+            Endpoint endpoint = of(session);
+            loop.post(() -> endpoint.opened(session));
+        }
+
+        @Override
+        public void messageReceived(IoSession session, Object message) {
+            loop.post(of(session).receive(((IoBuffer) message).buf(), clock.now()));
+        }
+
+        @Override
+        public void messageSent(IoSession session, Object message) {
+            loop.post(of(session)::written);
+        }
+
+        @Override
+        public void inputClosed(IoSession session) {
+            end(session);
+            session.closeNow();
+        }
+
+        @Override
+        public void sessionClosed(IoSession session) {
+            end(session);
+        }
+
+        @Override
+        public void exceptionCaught(IoSession session, Throwable cause) {
+            session.closeNow(); // broken connections are ordinary; how each ended is counted
+        }
+
+        private void end(IoSession session) {
+            Endpoint endpoint = of(session);
+            long at = clock.now();
+            loop.post(() -> endpoint.ended(at));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/ledgewall/pg/FrameReader.java
@@ -0,0 +1,72 @@
+package ledgewall.pg;
+
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.function.Consumer;
+
+/** Cuts a stream of bytes into messages, however the bytes come. Holds at most one message's bytes. */
+public final class FrameReader {
+    private static final int PROTOCOL_MAJOR = 3;
+    private static final int FIRST_ROOM = 512;
+
+    private final int longest;
+    private boolean typed;
+    private byte[] bytes = new byte[FIRST_ROOM];
+    private int filled;
+    private int size;
+
+    private FrameReader(int longest, boolean typed) {
+        this.longest = longest;
+        this.typed = typed;
+    }
+
+    /** For what a client sends: packets without a type until its startup message. */
+    public static FrameReader ofClient(int longest) {
+        return new FrameReader(longest, false);
+    }
+
+    /** For what a host sends. */
+    public static FrameReader ofHost(int longest) {
+        return new FrameReader(longest, true);
+    }
+
+    /** Takes all bytes of {@code in}; after an exception the reader is of no more use. */
+    public void feed(ByteBuffer in, Consumer<Frame> out) throws ProtocolException {
+        while (in.hasRemaining()) {
+            int header = typed ? 1 + Frame.LENGTH_BYTES : Frame.LENGTH_BYTES;
+            fill(in, size == 0 ? header : size);
+            if (size == 0 && filled == header) {
+                size = size(header);
+            }
+            if (size != 0 && filled == size) {
+                out.accept(finish());
+            }
+        }
+    }
+
+    private void fill(ByteBuffer in, int upTo) {
+        int count = Math.min(in.remaining(), upTo - filled);
+        if (filled + count > bytes.length) { // grows with what has come, not with what was announced
+            bytes = Arrays.copyOf(bytes, Math.min(upTo, Math.max(2 * bytes.length, filled + count)));
+        }
+        in.get(bytes, filled, count);
+        filled += count;
+    }
+
+    private int size(int header) throws ProtocolException {
+        int length = ByteBuffer.wrap(bytes, header - Frame.LENGTH_BYTES, Frame.LENGTH_BYTES).getInt();
+        if (length < Frame.LENGTH_BYTES || length > longest) {
+            throw new ProtocolException("a message announces a length of " + length);
+        }
+        return header - Frame.LENGTH_BYTES + length;
+    }
+
+    private Frame finish() {
+        Frame frame = new Frame(typed ? (char) (bytes[0] & 0xff) : Frame.UNTYPED, Arrays.copyOf(bytes, size));
+        typed |= frame.bodyLength() >= 2 && ByteBuffer.wrap(frame.bytes()).getShort(Frame.LENGTH_BYTES) == PROTOCOL_MAJOR;
+        bytes = bytes.length > FIRST_ROOM ? new byte[FIRST_ROOM] : bytes;
+        filled = 0;
+        size = 0;
+        return frame;
+    }
+}
--- a/src/main/java/ledgewall/simhost/Fields.java
+++ b/src/main/java/ledgewall/settings/Fields.java
@@ -1,4 +1,4 @@
-package ledgewall.simhost;
+package ledgewall.settings;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -9,10 +9,10 @@
 import java.util.Map;
 
 /** One JSON object with checked access: absent and null read alike, a missing or ill-typed value is named. */
-record Fields(String where, Map<String, Object> values) {
+public record Fields(String where, Map<String, Object> values) {
 
     /** Reads the object at which the parser stands. */
-    static Fields read(JsonParser parser, String where) throws IOException {
+    public static Fields read(JsonParser parser, String where) throws IOException {
         return new Fields(where, readObject(parser));
     }
 
@@ -46,12 +46,12 @@
         return array;
     }
 
-    Fields object(String name) {
+    public Fields object(String name) {
         return new Fields(where + ", " + name, asMap(name, values.get(name)));
     }
 
     /** The objects of an array; none where the array is absent. */
-    List<Fields> objects(String name) {
+    public List<Fields> objects(String name) {
         Object value = values.get(name);
         if (value == null) {
             return List.of();
@@ -64,42 +64,42 @@
     }
 
     /** The numbers or strings of an array; none where the array is absent. */
-    List<?> elements(String name) {
+    public List<?> elements(String name) {
         Object value = values.get(name);
         return value == null ? List.of() : array(name, value);
     }
 
-    boolean has(String name) {
+    public boolean has(String name) {
         return values.get(name) != null;
     }
 
-    String text(String name) {
+    public String text(String name) {
         return required(name, text(name, null));
     }
 
-    String text(String name, String otherwise) {
+    public String text(String name, String otherwise) {
         return typed(name, String.class, otherwise);
     }
 
-    long integer(String name) {
+    public long integer(String name) {
         return required(name, typed(name, Number.class, null)).longValue();
     }
 
-    long integer(String name, long otherwise) {
+    public long integer(String name, long otherwise) {
         return typed(name, Number.class, otherwise).longValue();
     }
 
-    double decimal(String name, double otherwise) {
+    public double decimal(String name, double otherwise) {
         return typed(name, Number.class, otherwise).doubleValue();
     }
 
-    boolean flag(String name, boolean otherwise) {
+    public boolean flag(String name, boolean otherwise) {
         return typed(name, Boolean.class, otherwise);
     }
 
     private <T> T required(String name, T value) {
         if (value == null) {
-            throw new WireException(where + ": lacks '" + name + "'");
+            throw new FormatException(where + ": lacks '" + name + "'");
         }
         return value;
     }
@@ -110,7 +110,7 @@
             return otherwise;
         }
         if (!type.isInstance(value)) {
-            throw new WireException(where + ": '" + name + "' is no " + type.getSimpleName().toLowerCase());
+            throw new FormatException(where + ": '" + name + "' is no " + type.getSimpleName().toLowerCase());
         }
         return type.cast(value);
     }
@@ -119,7 +119,7 @@
         if (value instanceof List<?> list) {
             return list;
         }
-        throw new WireException(where + ": '" + name + "' is no array");
+        throw new FormatException(where + ": '" + name + "' is no array");
     }
 
     @SuppressWarnings("unchecked") // objects are only ever read as maps from names
@@ -130,6 +130,6 @@
         if (value instanceof Map<?, ?> map) {
             return (Map<String, Object>) map;
         }
-        throw new WireException(where + ": '" + name + "' is no object");
+        throw new FormatException(where + ": '" + name + "' is no object");
     }
 }
--- a/src/main/java/ledgewall/simhost/Codec.java
+++ b/src/main/java/ledgewall/simhost/Codec.java
@@ -2,12 +2,13 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
 import ledgewall.RoutingPolicy;
 import ledgewall.RoutingPolicy.Action;
 import ledgewall.RoutingPolicy.Event;
+import ledgewall.settings.Fields;
+import ledgewall.settings.FormatException;
 
 /** Translates between the wire's messages and the policy's events and actions. Decides nothing. */
 final class Codec {
@@ -19,103 +20,6 @@
     private Codec() {
     }
 
-    static RoutingPolicy.Settings settings(Fields info) {
-        Fields ceilings = info.object("ceilings");
-        Fields domain = info.object("domain");
-        Fields rules = info.object("rules");
-        return new RoutingPolicy.Settings(
-            (int) info.integer("peersTotal", 1), (int) info.integer("rank", 0), (int) info.integer("zone", 0),
-            info.integer("tickNs", NANOS_PER_MILLI), "ask".equals(info.text("discovery", "push")),
-            classes(info, domain), tenants(info), info.decimal("overShareWorth", 1),
-            new RoutingPolicy.Limits(
-                (int) ceilings.integer("maxAttempts", 1), ceilings.flag("parallelTries", false),
-                ceilings.flag("cancel", false), ceilings.flag("probing", false), ceilings.flag("peers", false),
-                ceilings.flag("retryAfter", false), ceilings.integer("maxRetryAfterNs", 0),
-                ceilings.integer("connectTimeoutNs", 0), (int) ceilings.integer("maxOpen", Integer.MAX_VALUE)),
-            data(info, domain),
-            new RoutingPolicy.Rules(
-                rules.integer("answerSlackNs", 0), rules.integer("askWithinNs", 0),
-                rules.integer("stopSendingWithinNs", 0), rules.flag("drainBindsAlone", false),
-                rules.decimal("coldShare", 1), rules.integer("warmAfterNs", 0),
-                rules.decimal("overloadFactor", 1), rules.integer("fallNs", 0)));
-    }
-
-    private static List<RoutingPolicy.RequestClass> classes(Fields info, Fields domain) {
-        List<?> needs = domain.elements("needsByClass");
-        List<?> bounds = domain.elements("stalenessBoundNs");
-        List<RoutingPolicy.RequestClass> classes = new ArrayList<>();
-        for (Fields entry : info.objects("classes")) {
-            int index = classes.size();
-            Object need = index < needs.size() ? needs.get(index) : null;
-            Object bound = index < bounds.size() ? bounds.get(index) : null;
-            classes.add(new RoutingPolicy.RequestClass(
-                need(entry.where(), need), bound instanceof Number number ? number.longValue() : 0,
-                effect(entry), repeatScope(entry), entry.integer("windowNs", 0), entry.integer("aimNs"),
-                entry.integer("deadlineNs"), entry.decimal("points", 1), entry.decimal("lateValue", 0),
-                entry.flag("stream", false)));
-        }
-        return List.copyOf(classes);
-    }
-
-    private static RoutingPolicy.Need need(String where, Object word) {
-        if (word == null) {
-            return RoutingPolicy.Need.ANY;
-        }
-        return switch (word.toString()) {
-            case "any" -> RoutingPolicy.Need.ANY;
-            case "bounded" -> RoutingPolicy.Need.BOUNDED;
-            case "session" -> RoutingPolicy.Need.SESSION;
-            case "fresh" -> RoutingPolicy.Need.FRESH;
-            case "write" -> RoutingPolicy.Need.WRITE;
-            default -> throw new WireException(where + ": unknown need '" + word + "'");
-        };
-    }
-
-    private static RoutingPolicy.Effect effect(Fields entry) {
-        String word = entry.text("effect", "at_most_once");
-        return switch (word) {
-            case "idempotent" -> RoutingPolicy.Effect.IDEMPOTENT;
-            case "deduplicated" -> RoutingPolicy.Effect.DEDUPLICATED;
-            case "at_most_once" -> RoutingPolicy.Effect.AT_MOST_ONCE;
-            default -> throw new WireException(entry.where() + ": unknown effect '" + word + "'");
-        };
-    }
-
-    private static RoutingPolicy.RepeatScope repeatScope(Fields entry) {
-        return switch (entry.text("group", "cell")) {
-            case "all" -> RoutingPolicy.RepeatScope.ALL;
-            case "zone" -> RoutingPolicy.RepeatScope.ZONE;
-            default -> RoutingPolicy.RepeatScope.GROUP;
-        };
-    }
-
-    private static List<RoutingPolicy.Tenant> tenants(Fields info) {
-        return info.objects("tenants").stream()
-            .map(tenant -> new RoutingPolicy.Tenant(
-                tenant.decimal("allowancePerS", Double.MAX_VALUE), tenant.decimal("share", 1)))
-            .toList();
-    }
-
-    private static RoutingPolicy.Data data(Fields info, Fields domain) {
-        Fields report = info.object("report");
-        boolean reports = !"none".equals(report.text("how", "none"));
-        List<?> fields = report.elements("fields");
-        RoutingPolicy.Behind behind = switch (domain.text("behind", "none")) {
-            case "refuse" -> RoutingPolicy.Behind.REFUSES;
-            case "wait" -> RoutingPolicy.Behind.WAITS;
-            default -> RoutingPolicy.Behind.ANSWERS;
-        };
-        RoutingPolicy.ListedRole listed = switch (domain.text("roleListed", "none")) {
-            case "late" -> RoutingPolicy.ListedRole.LATE;
-            case "start" -> RoutingPolicy.ListedRole.AT_START;
-            default -> RoutingPolicy.ListedRole.NEVER;
-        };
-        return new RoutingPolicy.Data(
-            behind, domain.integer("catchUpWaitNs", 0), domain.flag("positions", false),
-            "carried".equals(domain.text("tokens", "remembered")), listed,
-            reports && fields.contains("x0"), reports && fields.contains("x1"));
-    }
-
     static List<RoutingPolicy.Listing> listings(Fields message) {
         return message.objects("elements").stream().map(Codec::listing).toList();
     }
@@ -139,7 +43,7 @@
             case "full" -> RoutingPolicy.ListKind.FULL;
             case "cached" -> RoutingPolicy.ListKind.REMEMBERED;
             case "failed" -> RoutingPolicy.ListKind.FAILED;
-            default -> throw new WireException(message.where() + ": unknown list kind '" + word + "'");
+            default -> throw new FormatException(message.where() + ": unknown list kind '" + word + "'");
         };
     }
 
@@ -196,7 +100,7 @@
             case "CXL" -> RoutingPolicy.Result.CANCELLED;
             case "NOP" -> RoutingPolicy.Result.NEVER_SENT;
             case "MISS" -> RoutingPolicy.Result.MISSED;
-            default -> throw new WireException(message.where() + ": unknown result '" + word + "'");
+            default -> throw new FormatException(message.where() + ": unknown result '" + word + "'");
         };
     }
 
@@ -219,7 +123,7 @@
         try {
             return Base64.getDecoder().decode(message.text("octets", ""));
         } catch (IllegalArgumentException e) {
-            throw new WireException(message.where() + ": 'octets' is no base64");
+            throw new FormatException(message.where() + ": 'octets' is no base64");
         }
     }
 
--- a/src/main/java/ledgewall/simhost/SimHost.java
+++ b/src/main/java/ledgewall/simhost/SimHost.java
@@ -18,6 +18,9 @@
 import java.util.List;
 import java.util.Map;
 import ledgewall.RoutingPolicy;
+import ledgewall.settings.Fields;
+import ledgewall.settings.FormatException;
+import ledgewall.settings.SettingsReader;
 
 /** Hosts one policy for each instance of the simulator and carries batches and replies between them. */
 public final class SimHost {
@@ -71,7 +74,7 @@
         List<Fields> messages = new ArrayList<>();
         try (JsonParser parser = json.createParser(line)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
-                throw new WireException(where + ": no JSON object");
+                throw new FormatException(where + ": no JSON object");
             }
             while (parser.nextToken() != JsonToken.END_OBJECT) {
                 String name = parser.currentName();
@@ -85,13 +88,13 @@
                 }
             }
             if (parser.nextToken() != null) {
-                throw new WireException(where + ": more than one value");
+                throw new FormatException(where + ": more than one value");
             }
         } catch (JsonProcessingException e) {
-            throw new WireException(where + ": no JSON: " + e.getOriginalMessage());
+            throw new FormatException(where + ": no JSON: " + e.getOriginalMessage());
         }
         if (now == null) {
-            throw new WireException(where + ": lacks 'atTimeNs'");
+            throw new FormatException(where + ": lacks 'atTimeNs'");
         }
         for (Fields message : messages) {
             accept(message, touched);
@@ -103,7 +106,7 @@
         while (parser.nextToken() != JsonToken.END_ARRAY) {
             String place = where + ", msgs[" + messages.size() + "]";
             if (parser.currentToken() != JsonToken.START_OBJECT) {
-                throw new WireException(place + ": no object");
+                throw new FormatException(place + ": no object");
             }
             messages.add(Fields.read(parser, place));
         }
@@ -116,10 +119,10 @@
             case "begin" -> {
                 int who = (int) message.integer("who");
                 if (!message.has("info")) {
-                    throw new WireException(message.where() + ": lacks 'info'");
+                    throw new FormatException(message.where() + ": lacks 'info'");
                 }
                 Fields info = message.object("info");
-                RoutingPolicy policy = factory.create(Codec.settings(info), message.integer("salt"));
+                RoutingPolicy policy = factory.create(SettingsReader.settings(info), message.integer("salt"));
                 long origin = info.object("domain").integer("originTimeNs", 0);
                 Instance instance = new Instance(policy, origin, new ArrayList<>());
                 instances.put(who, instance);
@@ -155,7 +158,7 @@
         }
         List<RoutingPolicy.Listing> listings = lists.get(message.integer("rosterId"));
         if (listings == null) {
-            throw new WireException(message.where() + ": 'rosterId' names a list never defined");
+            throw new FormatException(message.where() + ": 'rosterId' names a list never defined");
         }
         return new RoutingPolicy.MemberList(kind, listings);
     }
--- a/src/test/java/ledgewall/simhost/SimHostTest.java
+++ b/src/test/java/ledgewall/simhost/SimHostTest.java
@@ -13,6 +13,7 @@
 import ledgewall.Brain;
 import ledgewall.RoutingPolicy;
 import ledgewall.RoutingPolicy.*;
+import ledgewall.settings.FormatException;
 import org.junit.jupiter.api.Test;
 
 class SimHostTest {
@@ -148,7 +149,7 @@
     }
 
     private void assertMessage(String expected, String line) {
-        WireException thrown = assertThrows(WireException.class, () -> host.reply(line, "line 4"));
+        FormatException thrown = assertThrows(FormatException.class, () -> host.reply(line, "line 4"));
         assertTrue(thrown.getMessage().startsWith(expected), thrown.getMessage());
     }
 
