--- a/src/main/java/ledgewall/net/Clock.java
+++ b/src/main/java/ledgewall/net/Clock.java
@@ -9,6 +9,7 @@
  */
 final class Clock {
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final double MILLIS_PER_SECOND = 1e3;
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
     private final LongSupplier monotonic;
@@ -37,6 +38,11 @@
         return !(millis > 0) ? 0 : (long) Math.floor(millis) * NANOS_PER_MILLI;
     }
 
+    /** A Unix time in seconds, told to the millisecond, on this clock. */
+    static long ofUnixSeconds(double seconds) {
+        return ofUnixMillis(Math.round(seconds * MILLIS_PER_SECOND));
+    }
+
     static long millis(long millis) {
         return millis * NANOS_PER_MILLI;
     }
--- a/src/main/java/ledgewall/net/Notes.java
+++ b/src/main/java/ledgewall/net/Notes.java
@@ -25,12 +25,9 @@
         };
     }
 
+    /** The position that an answer tells, in Unix milliseconds there; none where it is absent or 0. */
     static long position(Reply reply) {
-        return position(number(reply.parameter(WAL_TIME)));
-    }
-
-    private static long position(double unixMillis) {
-        long position = Clock.ofUnixMillis(unixMillis);
+        long position = Clock.ofUnixMillis(number(reply.parameter(WAL_TIME)));
         return position == 0 ? RoutingPolicy.NONE : position;
     }
 
@@ -53,7 +50,10 @@
         }
         double primary = values.getOrDefault("x1", Double.NaN);
         Role role = Double.isNaN(primary) ? Role.UNKNOWN : primary == 1 ? Role.PRIMARY : Role.REPLICA;
-        return new Report(position(values.getOrDefault("x0", Double.NaN)), role,
+        // Positions in reports are Unix seconds; 0 is one too, of long ago: what stands beside it is as old.
+        double seconds = values.getOrDefault("x0", Double.NaN);
+        long position = Double.isNaN(seconds) ? RoutingPolicy.NONE : Clock.ofUnixSeconds(seconds);
+        return new Report(position, role,
             values.getOrDefault("util", Double.NaN), values.getOrDefault("queue", Double.NaN));
     }
 
