--- a/src/main/java/ledgewall/net/ClientConnection.java
+++ b/src/main/java/ledgewall/net/ClientConnection.java
@@ -44,11 +44,16 @@
     private boolean skipping;
     private boolean closing;
     private boolean closesAfterAnswer;
+    private boolean broken;
+    private int partial;
+    private int taken;
+    private int unsent;
 
     /** The place of one command's answer. */
     final class Slot {
         private ClientRequest request;
         private byte[] message;
+        private int size;
         private boolean last;
 
         void fill(byte[] answer) {
@@ -72,7 +77,9 @@
     }
 
     @Override
-    public void written() {
+    public void written(int bytes) {
+        unsent -= bytes;
+        hold();
         if (!closed && session.isReadSuspended() && mayRead()) {
             session.resumeRead();
         }
@@ -92,20 +99,23 @@
             }
         } catch (ProtocolException e) {
             return () -> {
-                take(messages, at);
+                take(messages, 0, at);
                 fatal(e.getMessage());
             };
         }
-        return () -> take(messages, at);
+        int rest = frames.held();
+        return () -> take(messages, rest, at);
     }
 
-    private void take(List<ClientMessage> messages, long at) {
+    private void take(List<ClientMessage> messages, int rest, long at) {
+        partial = rest;
         for (ClientMessage message : messages) {
-            if (closed || closing && !slots.isEmpty() && slots.peekLast().last) {
+            if (closed || broken) {
                 return;
             }
             take(message, at);
         }
+        hold();
         if (!closed && !mayRead()) {
             session.suspendRead();
         }
@@ -141,6 +151,8 @@
     private void query(Statement statement, long at) {
         Slot slot = new Slot();
         slots.add(slot);
+        slot.size = statement.size();
+        taken += slot.size;
         slot.request = owner.take(statement, slot, at);
     }
 
@@ -158,10 +170,11 @@
 
     /** What is in hand is answered first. */
     private void fatal(String reason) {
-        if (closed) {
+        if (closed || broken) {
             return;
         }
         wiring.counters().add(Counters.Count.BAD_CLIENTS);
+        broken = true;
         Slot slot = new Slot();
         slot.last = true;
         slots.add(slot);
@@ -174,6 +187,8 @@
     private void flush() {
         while (!closed && !slots.isEmpty() && slots.peekFirst().message != null) {
             Slot slot = slots.pollFirst();
+            taken -= slot.size;
+            unsent += slot.message.length;
             wiring.transport().write(session, slot.message);
             closing |= closesAfterAnswer && slot.request != null;
             if (slot.last) {
@@ -183,13 +198,21 @@
         if (!closed && closing && slots.isEmpty()) {
             closeOnFlush();
         }
+        hold();
         if (!closed && session.isReadSuspended() && mayRead()) {
             session.resumeRead();
         }
     }
 
     private boolean mayRead() {
-        return !closing && slots.size() < MOST_PIPELINED && session.getScheduledWriteBytes() < LONGEST_MESSAGE;
+        return !closing && slots.size() < MOST_PIPELINED && unsent < LONGEST_MESSAGE;
+    }
+
+    /** Accounts for the bytes that this client makes the router hold. */
+    private void hold() {
+        if (!closed) {
+            wiring.held().hold(this, partial + taken + unsent);
+        }
     }
 
     /** Ends the connection after what it has in hand; at once if there is nothing. */
@@ -218,6 +241,12 @@
         }
     }
 
+    /** Ends a connection that makes the router hold too much. */
+    void cutOff() {
+        wiring.counters().add(Counters.Count.CUT_OFF);
+        close();
+    }
+
     @Override
     public void ended(long at) {
         gone();
@@ -228,6 +257,7 @@
             return;
         }
         closed = true;
+        wiring.held().release(this);
         for (Slot slot : slots) {
             if (slot.request != null) {
                 owner.lapsed(slot.request);
--- a/src/main/java/ledgewall/net/Discovery.java
+++ b/src/main/java/ledgewall/net/Discovery.java
@@ -26,6 +26,8 @@
     private static final String PATH = "/catalog/members";
     /** A watch tells something every 2 s; three such spans without a byte are silence. */
     private static final long SILENCE = Clock.millis(6_000);
+    /** A revision before any. */
+    private static final long NOTHING = -1;
     private static final long FIRST_GAP = Clock.millis(100);
     private static final long LONGEST_GAP = Clock.millis(5_000);
 
@@ -76,8 +78,14 @@
 
     private void learn(ListUpdate update, Call call) {
         gap = FIRST_GAP;
-        if (!update.complete() && update.revision() <= revision) {
-            return; // known already; only a whole list can take the revision back
+        boolean older = update.revision() < revision;
+        if (older && !update.complete() && call.follows) {
+            revision = NOTHING; // discovery has begun anew: only the whole list says what holds
+            fetch();
+            return;
+        }
+        if (update.revision() == revision && !update.complete() || older && !call.follows) {
+            return; // known already
         }
         revision = update.revision();
         wiring.counters().add(Counters.Count.LISTS);
@@ -89,13 +97,11 @@
         if (closed) {
             return;
         }
-        if (onlyWhenAsked) {
-            watch = call == watch ? null : watch;
-            if (call.follows || !call.told) {
-                wiring.loop().tell(new RoutingPolicy.MemberList(ListKind.FAILED, List.of()));
-            }
-        } else if (call == watch) {
-            watch = null;
+        if (call.follows ? onlyWhenAsked : !call.told) { // whoever asked is told that it failed
+            wiring.loop().tell(new RoutingPolicy.MemberList(ListKind.FAILED, List.of()));
+        }
+        watch = call == watch ? null : watch;
+        if (call.follows && !onlyWhenAsked) {
             wiring.loop().in(gap, this::subscribe);
             gap = Math.min(LONGEST_GAP, 2 * gap);
         }
@@ -145,7 +151,7 @@
         }
 
         @Override
-        public void written() {
+        public void written(int bytes) {
             // only its answer matters
         }
 
--- a/src/main/java/ledgewall/net/Endpoint.java
+++ b/src/main/java/ledgewall/net/Endpoint.java
@@ -11,8 +11,8 @@
     /** On the loop: the connection is up. */
     void opened(IoSession session);
 
-    /** On the loop: all that was written so far has gone out. */
-    void written();
+    /** On the loop: so many bytes, one write's, have gone out to their last. */
+    void written(int bytes);
 
     /** On the loop: the other side has ended its sending, or the connection is no more; may come twice. */
     void ended(long at);
--- a/src/main/java/ledgewall/net/HostConnection.java
+++ b/src/main/java/ledgewall/net/HostConnection.java
@@ -83,12 +83,12 @@
         reply = new Reply();
         written = false;
         servedTold = false;
-        exchange.begun(wiring.loop().now());
+        exchange.begun(wiring.clock().now());
         wiring.transport().write(session, exchange.query());
     }
 
     @Override
-    public void written() {
+    public void written(int bytes) {
         written |= stage == Stage.BUSY;
     }
 
--- a/src/main/java/ledgewall/net/Router.java
+++ b/src/main/java/ledgewall/net/Router.java
@@ -35,7 +35,7 @@
 
     private Router(RouterConfig config, RoutingPolicy.Factory factory) {
         this.config = config;
-        this.wiring = new Wiring(loop, transport, new Descriptors(config.sockets()), counters,
+        this.wiring = new Wiring(clock, loop, transport, new Descriptors(config.sockets()), counters, new Held(),
             config.transport().connectTimeout(), config.transport().connIdle());
         this.members = new Members(wiring, config.vocabulary());
         this.desk = new Desk(wiring, config, members);
--- a/src/main/java/ledgewall/net/Transport.java
+++ b/src/main/java/ledgewall/net/Transport.java
@@ -11,7 +11,6 @@
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.core.session.IoSessionConfig;
 import org.apache.mina.transport.socket.SocketSessionConfig;
-import org.apache.mina.transport.socket.nio.NioProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
@@ -25,7 +24,7 @@
 
     private final Clock clock;
     private final EventLoop loop;
-    private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(NioProcessor.class, 1);
+    private final IoProcessor<NioSession> processor = new SimpleIoProcessorPool<>(LastWordsProcessor.class, 1);
     private final NioSocketConnector connector = new NioSocketConnector(processor);
     private final NioSocketAcceptor acceptor = new NioSocketAcceptor(processor);
 
@@ -114,7 +113,9 @@
 
         @Override
         public void messageSent(IoSession session, Object message) {
-            loop.post(of(session)::written);
+            Endpoint endpoint = of(session);
+            int bytes = ((IoBuffer) message).limit();
+            loop.post(() -> endpoint.written(bytes));
         }
 
         @Override
--- a/src/main/java/ledgewall/net/Wiring.java
+++ b/src/main/java/ledgewall/net/Wiring.java
@@ -1,5 +1,5 @@
 package ledgewall.net;
 
 /** What every part of one router shares. */
-record Wiring(EventLoop loop, Transport transport, Descriptors descriptors, Counters counters,
-              long connectTimeout, long connIdle) { }
+record Wiring(Clock clock, EventLoop loop, Transport transport, Descriptors descriptors, Counters counters,
+              Held held, long connectTimeout, long connIdle) { }
--- a/src/main/java/ledgewall/pg/FrameReader.java
+++ b/src/main/java/ledgewall/pg/FrameReader.java
@@ -8,6 +8,8 @@
 public final class FrameReader {
     private static final int PROTOCOL_MAJOR = 3;
     private static final int FIRST_ROOM = 512;
+    /** As the servers of this protocol have it. */
+    private static final int LONGEST_STARTUP = 10_000;
 
     private final int longest;
     private boolean typed;
@@ -53,9 +55,14 @@
         filled += count;
     }
 
+    /** Bytes of a message that has not come whole. */
+    public int held() {
+        return filled;
+    }
+
     private int size(int header) throws ProtocolException {
         int length = ByteBuffer.wrap(bytes, header - Frame.LENGTH_BYTES, Frame.LENGTH_BYTES).getInt();
-        if (length < Frame.LENGTH_BYTES || length > longest) {
+        if (length < Frame.LENGTH_BYTES || length > (typed ? longest : LONGEST_STARTUP)) {
             throw new ProtocolException("a message announces a length of " + length);
         }
         return header - Frame.LENGTH_BYTES + length;
@@ -63,7 +70,8 @@
 
     private Frame finish() {
         Frame frame = new Frame(typed ? (char) (bytes[0] & 0xff) : Frame.UNTYPED, Arrays.copyOf(bytes, size));
-        typed |= frame.bodyLength() >= 2 && ByteBuffer.wrap(frame.bytes()).getShort(Frame.LENGTH_BYTES) == PROTOCOL_MAJOR;
+        typed |= frame.bodyLength() >= Short.BYTES
+            && ByteBuffer.wrap(frame.bytes()).getShort(Frame.LENGTH_BYTES) == PROTOCOL_MAJOR;
         bytes = bytes.length > FIRST_ROOM ? new byte[FIRST_ROOM] : bytes;
         filled = 0;
         size = 0;
--- a/src/main/java/ledgewall/pg/Reply.java
+++ b/src/main/java/ledgewall/pg/Reply.java
@@ -42,7 +42,8 @@
 
     private void row(Frame frame) throws ProtocolException {
         Frame.Body body = frame.body();
-        expect(description != null && row == null && sqlState == null && body.int16() == 1, "no single row of one column");
+        expect(description != null && row == null && sqlState == null && body.int16() == 1,
+            "no single row of one column");
         int length = body.int32();
         expect(length == (body.left() == 0 && length == NULL ? NULL : body.left()) && length <= LONGEST_VALUE,
             "a value of " + length + " bytes");
--- a/src/main/java/ledgewall/pg/Statement.java
+++ b/src/main/java/ledgewall/pg/Statement.java
@@ -151,6 +151,11 @@
         return sessionKey;
     }
 
+    /** Bytes of the whole message. */
+    public int size() {
+        return frame.length;
+    }
+
     /** The whole message with another wait; all its other bytes are the client's. */
     public byte[] withWait(long millis) {
         Field wait = fields.get("d");
--- /dev/null
+++ b/src/test/java/ledgewall/net/ClientsTest.java
@@ -0,0 +1,331 @@
+package ledgewall.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import ledgewall.RoutingPolicy;
+import ledgewall.RoutingPolicy.Arrival;
+import ledgewall.RoutingPolicy.Lapsed;
+import ledgewall.RoutingPolicy.Outcome;
+import ledgewall.standin.Client;
+import ledgewall.standin.Message;
+import ledgewall.standin.ScriptedPolicy;
+import ledgewall.standin.StandInServer;
+import ledgewall.standin.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What clients may say, and what they get for it. */
+@Timeout(60)
+class ClientsTest {
+    private final Rig rig = new Rig();
+
+    @AfterEach
+    void close() throws IOException {
+        rig.close();
+    }
+
+    /** Answers each request with its own id. */
+    private ScriptedPolicy echo() throws IOException {
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
+        rig.host("m", StandInServer.host((connection, sql) -> {
+            String id = sql.substring(sql.indexOf("id=") + 3, sql.indexOf(','));
+            connection.write(Wire.row(id.getBytes(java.nio.charset.StandardCharsets.US_ASCII)), Wire.ready());
+        }));
+        rig.start(policy);
+        return policy;
+    }
+
+    private static String value(List<Message> answer) {
+        byte[] body = answer.get(1).body();
+        return new String(body, 6, body.length - 6, java.nio.charset.StandardCharsets.US_ASCII);
+    }
+
+    @Test
+    void startupAndFirstQueryMayComeInOneSegment() throws IOException {
+        echo();
+        Client client = rig.stranger();
+        client.send(Wire.startup("user", "portal", "database", "crm"), Wire.query(""));
+        String welcome = client.types();
+        assertEquals('R', welcome.charAt(0));
+        assertTrue(welcome.endsWith("K"));
+        assertEquals("I", client.types());
+    }
+
+    @Test
+    void aWholeConversationMayComeByteByByte() throws IOException {
+        echo();
+        Client client = rig.stranger();
+        for (byte b : Wire.join(Wire.startup("user", "u"), Rig.look("7"))) {
+            client.send(new byte[] {b});
+        }
+        client.untilReady();
+        assertEquals("7", value(client.untilReady()));
+    }
+
+    @Test
+    void whatTheSettingsNameIsToldByItsIndex() throws IOException, InterruptedException {
+        ScriptedPolicy policy = ScriptedPolicy.idle();
+        rig.start(policy);
+        Client client = rig.client();
+        client.send(Wire.query("/* r=1,cluster=9,d=60000,t=zeta,c=put,id=a */ INSERT INTO f (c, d) VALUES ('k1', 'v')"));
+        Arrival put = policy.next(Arrival.class);
+        assertEquals(List.of(1, 1, 9L, true),
+            List.of(put.requestClass(), put.tenant(), put.group(), put.retry()));
+        assertTrue(put.session() > 0);
+        assertEquals(RoutingPolicy.NONE, put.sinceWrite());
+        assertTrue(put.timeLeft() > 50_000 * Rig.MS && put.timeLeft() <= 60_000 * Rig.MS);
+        client.send(Wire.query(Rig.sql("id=b,c=look,t=other,d=60000,cluster=2")));
+        Arrival look = policy.next(Arrival.class);
+        assertEquals(2, look.tenant());
+        assertEquals(RoutingPolicy.NONE, look.session());
+        long after = System.currentTimeMillis() - 5_000;
+        client.send(Wire.query(Rig.sql("id=c,c=own,t=other,d=60000,cluster=2,after=" + after)));
+        Arrival own = policy.next(Arrival.class);
+        assertEquals(put.session(), own.session());
+        assertEquals(2, own.tenant());
+        assertTrue(own.sinceWrite() >= 4_999 * Rig.MS && own.sinceWrite() < 60_000 * Rig.MS, "" + own.sinceWrite());
+    }
+
+    @Test
+    void pipelinedQueriesAreAnsweredInOrder() throws IOException, InterruptedException {
+        ScriptedPolicy policy = ScriptedPolicy.idle();
+        rig.start(policy);
+        Client client = rig.client();
+        client.send(Rig.look("1"), Wire.query("nonsense"), Rig.look("2"), Wire.query(""));
+        long first = policy.next(Arrival.class).request();
+        long second = policy.next(Arrival.class).request();
+        policy.command(new RoutingPolicy.Refuse(second, 0), new RoutingPolicy.Fail(first));
+        assertEquals("08006", client.untilReady().get(0).field('C'));
+        assertEquals("42601", client.untilReady().get(0).field('C'));
+        assertEquals("53300", client.untilReady().get(0).field('C'));
+        assertEquals("I", client.types());
+    }
+
+    @Test
+    void moreThanMayBePipelinedIsReadLater() throws IOException {
+        echo();
+        Client client = rig.client();
+        byte[][] queries = new byte[200][];
+        for (int i = 0; i < queries.length; i++) {
+            queries[i] = Rig.look("" + i);
+        }
+        client.send(queries);
+        for (int i = 0; i < queries.length; i++) {
+            assertEquals("" + i, value(client.untilReady()));
+        }
+    }
+
+    @Test
+    void refusalsSayWhenToComeBackAndFailuresPromiseNothing() throws IOException, InterruptedException {
+        ScriptedPolicy policy = ScriptedPolicy.idle();
+        rig.start(policy);
+        Client client = rig.client();
+        client.send(Rig.look("1"));
+        long request = policy.next(Arrival.class).request();
+        policy.command(new RoutingPolicy.Refuse(request, 250 * Rig.MS), new RoutingPolicy.Fail(request),
+            new RoutingPolicy.Refuse(request, 0));
+        Message refusal = client.untilReady().get(0);
+        assertEquals("53300", refusal.field('C'));
+        assertEquals("250", refusal.field('D'));
+        client.send(Rig.look("2"));
+        policy.command(new RoutingPolicy.Refuse(policy.next(Arrival.class).request(), 0));
+        assertNull(client.untilReady().get(0).field('D'));
+        assertEquals(2, rig.router().counts().of(Counters.Count.REFUSED));
+        assertEquals(0, rig.router().counts().of(Counters.Count.FAILED));
+    }
+
+    @Test
+    void aRequestThatThePolicyLeavesIsFailedOnceItIsOverdue() throws IOException, InterruptedException {
+        ScriptedPolicy policy = ScriptedPolicy.idle();
+        rig.start(policy);
+        Client client = rig.client();
+        client.send(Wire.query(Rig.sql("id=1,c=look,d=20,cluster=2")));
+        assertEquals("08006", client.untilReady().get(0).field('C'));
+        assertEquals(policy.next(Arrival.class).request(), policy.next(Lapsed.class).request());
+        assertEquals(1, rig.router().counts().of(Counters.Count.OVERDUE));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "SELECT 1", "/* id=1,c=look,cluster=2 */ SELECT 1", "/* id=1,c=look,d=x,cluster=2 */ SELECT 1",
+        "/* id=1,c=nosuch,d=5,cluster=2 */ SELECT 1", "/* id=1,c=look,d=5,cluster=2 */ SELECT 1; SELECT 2"})
+    void whatIsNoRequestGetsAnOrdinaryError(String sql) throws IOException {
+        echo();
+        Client client = rig.client();
+        client.send(Wire.query(sql), Rig.look("5"));
+        Message error = client.untilReady().get(0);
+        assertEquals("42601", error.field('C'));
+        assertEquals("5", value(client.untilReady()));
+    }
+
+    @Test
+    void encryptionIsDeclinedAndTheConnectionGoesOn() throws IOException {
+        echo();
+        Client client = rig.stranger();
+        client.send(Wire.packet(80877103));
+        assertEquals('N', client.readByte());
+        client.send(Wire.packet(80877104));
+        assertEquals('N', client.readByte());
+        client.send(Wire.startup("user", "u"), Rig.look("3"));
+        client.untilReady();
+        assertEquals("3", value(client.untilReady()));
+    }
+
+    @Test
+    void aNewerMinorVersionIsNegotiated() throws IOException {
+        echo();
+        Client client = rig.stranger();
+        byte[] startup = Wire.startup("user", "u");
+        startup[7] = 2;
+        client.send(startup);
+        assertEquals('v', client.read().type());
+        assertTrue(client.types().startsWith("R"));
+    }
+
+    @Test
+    void theExtendedProtocolGetsOneErrorUpToSync() throws IOException {
+        echo();
+        Client client = rig.client();
+        client.send(Wire.message('P', Wire.text(""), Wire.text("SELECT 1"), Wire.int16(0)), Wire.message('B', new byte[8]),
+            Wire.message('H'), Rig.look("skipped"), Wire.message('E', new byte[5]), Wire.message('S'), Rig.look("8"));
+        List<Message> answer = client.untilReady();
+        assertEquals(1, answer.size());
+        assertEquals("0A000", answer.get(0).field('C'));
+        assertEquals("8", value(client.untilReady()));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"length", "type", "version", "long startup", "unended query"})
+    void brokenSpeechIsAnsweredAndEndsItsConnectionAlone(String what) throws IOException {
+        echo();
+        Client other = rig.client();
+        Client client = what.contains("version") || what.contains("startup") ? rig.stranger() : rig.client();
+        client.send(switch (what) {
+            case "length" -> Wire.join(new byte[] {'Q'}, Wire.int32(2));
+            case "type" -> Wire.message('~');
+            case "version" -> Wire.join(Wire.int32(8), Wire.int32(2 << 16));
+            case "long startup" -> Wire.int32(1 << 20);
+            default -> Wire.message('Q', new byte[] {'x'});
+        });
+        Message fatal = client.read();
+        assertEquals('E', fatal.type());
+        assertEquals("FATAL", fatal.field('S'));
+        assertEquals("08P01", fatal.field('C'));
+        assertTrue(client.atEnd());
+        other.send(Rig.look("4"));
+        assertEquals("4", value(other.untilReady()));
+    }
+
+    @Test
+    void whatWasTakenBeforeBrokenSpeechIsAnsweredFirst() throws IOException, InterruptedException {
+        ScriptedPolicy policy = ScriptedPolicy.idle();
+        rig.start(policy);
+        Client client = rig.client();
+        client.send(Rig.look("1"), Wire.message('~'));
+        policy.command(new RoutingPolicy.Fail(policy.next(Arrival.class).request()));
+        assertEquals("08006", client.untilReady().get(0).field('C'));
+        assertEquals("08P01", client.read().field('C'));
+        assertTrue(client.atEnd());
+        assertFalse(policy.hasHeard(Lapsed.class));
+    }
+
+    @Test
+    void aCancelRequestIsClosed() throws IOException {
+        echo();
+        Client client = rig.stranger();
+        client.send(Wire.int32(16), Wire.int32(80877102), Wire.int32(0), Wire.int32(0));
+        assertTrue(client.atEnd());
+    }
+
+    @Test
+    void aConversationCutAtAnyByteLeavesNothingBehind() throws IOException, InterruptedException {
+        echo();
+        byte[] all = Wire.join(Wire.startup("user", "u"), Rig.look("1"));
+        for (int cut = 0; cut < all.length; cut++) {
+            try (Client client = new Client(rig.router().listening())) {
+                client.send(Arrays.copyOf(all, cut));
+            }
+        }
+        Client client = rig.client();
+        client.send(Rig.look("2"));
+        assertEquals("2", value(client.untilReady()));
+        assertEquals(1, rig.router().counts().of(Counters.Count.REQUESTS));
+    }
+
+    @Test
+    void noiseEndsConnectionsButNeverTheRouter() throws IOException {
+        echo();
+        Random random = new Random(9);
+        for (int round = 0; round < 200; round++) {
+            byte[] noise = new byte[random.nextInt(300)];
+            random.nextBytes(noise);
+            try (Client client = round % 2 == 0 ? new Client(rig.router().listening()) : Client.started(rig.router().listening())) {
+                client.send(noise);
+            } catch (IOException e) {
+                // ended by the router while the noise was written
+            }
+        }
+        Client client = rig.client();
+        client.send(Rig.look("6"));
+        assertEquals("6", value(client.untilReady()));
+    }
+
+    @Test
+    void atTheLimitNewClientsAreClosedAndAttemptsEndUnsent() throws IOException, InterruptedException {
+        rig.sockets(64 + 48 + 1 + 3); // the process's own, those kept back, the watch, three clients
+        ScriptedPolicy policy = new ScriptedPolicy(event ->
+            event instanceof Arrival arrival ? List.of(new RoutingPolicy.Send(arrival.request(), "m", 0))
+            : event instanceof Outcome outcome && !outcome.complete() ? List.of(new RoutingPolicy.Fail(outcome.request()))
+            : List.of());
+        rig.host("m", StandInServer.host((connection, sql) -> connection.write(Wire.row(new byte[1]), Wire.ready())));
+        rig.start(policy);
+        Client first = rig.client();
+        Client second = rig.client();
+        Client third = rig.client();
+        assertTrue(rig.stranger().atEnd());
+        assertEquals(1, rig.router().counts().of(Counters.Count.CLIENTS_TURNED_AWAY));
+        first.send(Rig.look("1"));
+        assertEquals("E", first.types());
+        Outcome unsent = policy.next(Outcome.class);
+        assertEquals(RoutingPolicy.Result.REJECTED, unsent.result());
+        second.close();
+        while (rig.router().counts().of(Counters.Count.SERVED) == 0) { // once its descriptor is free again
+            third.send(Rig.look("2"));
+            third.untilReady();
+        }
+        Client fourth = rig.client(); // the idle connection to the host gives way
+        fourth.send(Wire.query(""));
+        assertEquals("I", fourth.types());
+    }
+
+    @Test
+    void aClientThatDoesNotReadIsCutOffBeforeItCostsTheRouterItsMemory() throws IOException {
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
+        byte[] large = new byte[64 * 1024];
+        rig.host("m", StandInServer.host((connection, sql) -> connection.write(Wire.row(large), Wire.ready())));
+        rig.start(policy);
+        Client slow = rig.client();
+        byte[][] queries = new byte[400][];
+        Arrays.setAll(queries, i -> Rig.look("" + i));
+        slow.send(queries);
+        Client client = rig.client();
+        for (int i = 0; i < 20; i++) {
+            client.send(Rig.look("x" + i));
+            byte[] body = client.untilReady().get(1).body();
+            assertArrayEquals(large, Arrays.copyOfRange(body, 6, body.length));
+        }
+        assertTrue(rig.router().counts().of(Counters.Count.REQUESTS) < 420, "the slow client's queries are not all read");
+    }
+}
--- a/src/test/java/ledgewall/net/NotesTest.java
+++ b/src/test/java/ledgewall/net/NotesTest.java
@@ -9,6 +9,7 @@
 import ledgewall.RoutingPolicy.Role;
 import ledgewall.pg.ProtocolException;
 import ledgewall.pg.Reply;
+import ledgewall.standin.Wire;
 import org.junit.jupiter.api.Test;
 
 class NotesTest {
--- /dev/null
+++ b/src/test/java/ledgewall/net/OutcomesTest.java
@@ -0,0 +1,426 @@
+package ledgewall.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import ledgewall.RoutingPolicy;
+import ledgewall.RoutingPolicy.Arrival;
+import ledgewall.RoutingPolicy.Lapsed;
+import ledgewall.RoutingPolicy.Outcome;
+import ledgewall.RoutingPolicy.Result;
+import ledgewall.RoutingPolicy.Role;
+import ledgewall.standin.Client;
+import ledgewall.standin.Message;
+import ledgewall.standin.ScriptedPolicy;
+import ledgewall.standin.StandInServer;
+import ledgewall.standin.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Every way in which an attempt can end, met on a real socket. */
+@Timeout(60)
+class OutcomesTest {
+    private static final byte[] VALUE = {7, 0, (byte) 0xfe};
+    private final Rig rig = new Rig();
+
+    @AfterEach
+    void close() throws IOException {
+        rig.close();
+    }
+
+    /** Sends one request to one host and tells what the policy heard of it. */
+    private Outcome outcome(StandInServer host) throws IOException, InterruptedException {
+        return outcome(rig.host("m", host), 0);
+    }
+
+    private Outcome outcome(Rig with, long timeout) throws IOException, InterruptedException {
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", timeout);
+        with.start(policy);
+        with.client().send(Rig.look("1"));
+        return policy.next(Outcome.class);
+    }
+
+    private Outcome outcomeOfAnswer(byte[]... answer) throws IOException, InterruptedException {
+        return outcome(StandInServer.host((connection, sql) -> connection.write(answer)));
+    }
+
+    @Test
+    void aRowIsServedAsTheHostGaveIt() throws IOException, InterruptedException {
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
+        rig.host("m", StandInServer.host((connection, sql) -> connection.write(Wire.set("mode", "read-write"),
+            Wire.row(VALUE), Wire.message('N', Wire.text("SNOTICE"), new byte[1]), Wire.set("wal_time", "1767225600123"),
+            Wire.ready())));
+        rig.start(policy);
+        Client client = rig.client();
+        client.send(Rig.look("1"));
+        List<Message> answer = client.untilReady();
+        assertEquals("TDC", answer.stream().map(m -> "" + m.type()).reduce("", String::concat));
+        assertArrayEquals(Wire.join(Wire.int16(1), Wire.int32(VALUE.length), VALUE), answer.get(1).body());
+        Outcome outcome = policy.next(Outcome.class);
+        assertEquals(Result.OK, outcome.result());
+        assertTrue(outcome.complete());
+        assertEquals(Role.PRIMARY, outcome.role());
+        assertEquals(1_767_225_600_123_000_000L, outcome.position());
+        assertTrue(outcome.elapsed() > 0);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"25006,MISSED", "72000,MISSED", "XX000,ERROR", "53300,REJECTED", "42P01,ERROR", "57P03,ERROR"})
+    void anErrorsCodeSaysHowItEnded(String code, Result result) throws IOException, InterruptedException {
+        Outcome outcome = outcomeOfAnswer(Wire.error(code), Wire.set("mode", "read-only"), Wire.ready());
+        assertEquals(result, outcome.result());
+        assertFalse(outcome.complete());
+        assertEquals(Role.REPLICA, outcome.role());
+        assertEquals(RoutingPolicy.NONE, outcome.position());
+    }
+
+    @Test
+    void aRefusedConnectionNeverRan() throws IOException, InterruptedException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            rig.member("m", "127.0.0.1:" + free.getLocalPort());
+        }
+        assertEquals(Result.NOT_CONNECTED, outcome(rig, 0).result());
+        assertEquals(1, rig.router().counts().of(Ending.CONNECT_REFUSED));
+    }
+
+    @Test
+    void aConnectionThatNeverComesUpNeverRan() throws IOException, InterruptedException {
+        rig.connectTimeout(50).host("m", new StandInServer(StandInServer.Connection::awaitEnd));
+        assertEquals(Result.NOT_CONNECTED, outcome(rig, 0).result());
+        assertEquals(1, rig.router().counts().of(Ending.CONNECT_TIMED_OUT));
+    }
+
+    @Test
+    void aConnectionThatEndsBeforeTheRequestIsWrittenNeverRan() throws IOException, InterruptedException {
+        Outcome outcome = outcome(new StandInServer(connection -> Message.read(connection.in(), false)));
+        assertEquals(Result.NOT_CONNECTED, outcome.result());
+        assertEquals(1, rig.router().counts().of(Ending.BROKEN_BEFORE_WRITTEN));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"53300,REJECTED", "57P03,NOT_CONNECTED", "28000,NOT_CONNECTED"})
+    void aHostMayTurnAwayInsteadOfWelcoming(String code, Result result) throws IOException, InterruptedException {
+        assertEquals(result, outcome(new StandInServer(connection -> {
+            Message.read(connection.in(), false);
+            connection.write(Wire.error(code));
+        })).result());
+    }
+
+    @Test
+    void aConnectionThatEndsAfterTheRequestMayHaveRun() throws IOException, InterruptedException {
+        assertEquals(Result.RESET, outcome(new StandInServer(connection -> {
+            connection.welcome();
+            connection.query();
+        })).result());
+        assertEquals(1, rig.router().counts().of(Ending.BROKEN_AFTER_WRITTEN));
+    }
+
+    @Test
+    void halfAnAnswerAndThenTheEndIsNoAnswer() throws IOException, InterruptedException {
+        assertEquals(Result.RESET, outcome(new StandInServer(connection -> {
+            connection.welcome();
+            connection.query();
+            connection.write(Wire.description(), Wire.dataRow(VALUE));
+        })).result());
+    }
+
+    @Test
+    void anErrorAndThenTheEndStillSaysWhatItSaid() throws IOException, InterruptedException {
+        assertEquals(Result.REJECTED, outcome(new StandInServer(connection -> {
+            connection.welcome();
+            connection.query();
+            connection.write(Wire.error("53300"));
+        })).result());
+    }
+
+    /** MINA drops what it has read in the turn in which it meets a reset: see LastWordsProcessor. */
+    @Test
+    void anAnswerThatComesWithAResetCounts() throws IOException, InterruptedException {
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
+        rig.host("m", new StandInServer(connection -> {
+            connection.welcome();
+            connection.query();
+            connection.write(Wire.row(VALUE), Wire.ready());
+            connection.reset();
+        }));
+        rig.start(policy);
+        Client client = rig.client();
+        for (int round = 0; round < 100; round++) {
+            client.send(Rig.look("" + round));
+            assertEquals("TDC", client.types(), "round " + round);
+            assertEquals(Result.OK, policy.next(Outcome.class).result());
+        }
+    }
+
+    @Test
+    void aWholeRowCountsThoughItsEndNeverComes() throws IOException, InterruptedException {
+        Outcome outcome = outcome(new StandInServer(connection -> {
+            connection.welcome();
+            connection.query();
+            connection.write(Wire.row(VALUE));
+        }));
+        assertEquals(Result.OK, outcome.result());
+        assertTrue(outcome.complete());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"garbage", "oversize", "two rows", "two columns", "ready at once"})
+    void anAnswerThatIsNoneEndsItsConnectionAndMayHaveRun(String what) throws IOException, InterruptedException {
+        byte[] bytes = switch (what) {
+            case "garbage" -> new byte[] {'T', -1, -1, -1, -1, 0};
+            case "oversize" -> Wire.join(new byte[] {'D'}, Wire.int32(1 << 24));
+            case "two rows" -> Wire.join(Wire.description(), Wire.dataRow(VALUE), Wire.dataRow(VALUE));
+            case "two columns" -> Wire.message('T', Wire.int16(2));
+            default -> Wire.ready();
+        };
+        CountDownLatch ended = new CountDownLatch(1);
+        Outcome outcome = outcome(StandInServer.host((connection, sql) -> {
+            connection.write(bytes);
+            connection.awaitEnd();
+            ended.countDown();
+        }));
+        assertEquals(Result.RESET, outcome.result());
+        assertEquals(1, rig.router().counts().of(Ending.GARBLED));
+        assertTrue(ended.await(20, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void silenceTimesOutAndClosesTheConnection() throws IOException, InterruptedException {
+        CountDownLatch ended = new CountDownLatch(1);
+        rig.host("m", StandInServer.host((connection, sql) -> {
+            connection.awaitEnd();
+            ended.countDown();
+        }));
+        Outcome outcome = outcome(rig, 30 * Rig.MS);
+        assertEquals(Result.TIMED_OUT, outcome.result());
+        assertTrue(outcome.elapsed() >= 30 * Rig.MS);
+        assertTrue(ended.await(20, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void theHostIsToldHowLongTheRouterWaits() throws IOException, InterruptedException {
+        BlockingQueue<String> queries = new LinkedBlockingQueue<>();
+        rig.host("m", StandInServer.host((connection, sql) -> {
+            queries.add(sql);
+            connection.write(Wire.row(VALUE), Wire.ready());
+        }));
+        outcome(rig, 1_500 * Rig.MS);
+        assertEquals(Rig.sql("id=1,c=look,t=acme,d=1500,cluster=2"), queries.poll(20, TimeUnit.SECONDS));
+    }
+
+    @Test
+    void aCancelledAttemptClosesAndIsToldOnce() throws IOException, InterruptedException {
+        CountDownLatch ended = new CountDownLatch(1);
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
+        CountDownLatch asked = new CountDownLatch(1);
+        rig.host("m", StandInServer.host((connection, sql) -> {
+            asked.countDown();
+            connection.awaitEnd();
+            ended.countDown();
+        }));
+        rig.start(policy);
+        Client client = rig.client();
+        client.send(Rig.look("1"));
+        long request = policy.next(Arrival.class).request();
+        assertTrue(asked.await(20, TimeUnit.SECONDS));
+        policy.command(new RoutingPolicy.Cancel(request, 0), new RoutingPolicy.Cancel(request, 0),
+            new RoutingPolicy.Cancel(request, 5), new RoutingPolicy.Fail(request));
+        assertEquals(Result.CANCELLED, policy.next(Outcome.class).result());
+        assertTrue(ended.await(20, TimeUnit.SECONDS));
+        assertEquals("E", client.types());
+        assertFalse(policy.hasHeard(Outcome.class));
+    }
+
+    @Test
+    void theFirstAnswerWinsAndTheSecondReachesNobody() throws IOException, InterruptedException {
+        CountDownLatch release = new CountDownLatch(1);
+        ScriptedPolicy policy = new ScriptedPolicy(event -> event instanceof Arrival arrival
+            ? List.of(new RoutingPolicy.Send(arrival.request(), "slow", 0), new RoutingPolicy.Send(arrival.request(), "m", 0))
+            : List.of());
+        rig.host("slow", StandInServer.host((connection, sql) -> {
+            await(release);
+            connection.write(Wire.row(new byte[] {1}), Wire.ready());
+        })).host("m", StandInServer.host((connection, sql) -> connection.write(Wire.row(VALUE), Wire.ready())));
+        rig.start(policy);
+        Client client = rig.client();
+        client.send(Rig.look("1"));
+        assertEquals("TDC", client.types());
+        Outcome first = policy.next(Outcome.class);
+        assertEquals("m", first.member());
+        release.countDown();
+        Outcome second = policy.next(Outcome.class);
+        assertEquals(Result.OK, second.result());
+        assertTrue(second.complete());
+        client.send(Wire.query(""));
+        assertEquals("I", client.types()); // nothing of the late row came before it
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(20, TimeUnit.SECONDS));
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Test
+    void whatMayNotBeSentIsToldAsNeverSent() throws IOException, InterruptedException {
+        ScriptedPolicy policy = new ScriptedPolicy(event -> event instanceof Arrival arrival
+            ? List.of(new RoutingPolicy.Send(arrival.request(), "unknown", 0),
+                new RoutingPolicy.Send(arrival.request(), "m", -1), new RoutingPolicy.Send(arrival.request(), "m", 0),
+                new RoutingPolicy.Send(arrival.request(), "m", 0), new RoutingPolicy.Fail(arrival.request()),
+                new RoutingPolicy.Send(arrival.request(), "m", 0), new RoutingPolicy.Send(99, "m", 0))
+            : List.of());
+        rig.oneAttemptAtATime().host("m", StandInServer.host((connection, sql) ->
+            connection.write(Wire.row(VALUE), Wire.ready())));
+        rig.start(policy);
+        rig.client().send(Rig.look("1"));
+        int neverSent = 0;
+        for (int i = 0; i < 5; i++) {
+            Outcome outcome = policy.next(Outcome.class);
+            neverSent += outcome.result() == Result.NEVER_SENT ? 1 : 0;
+            assertEquals(outcome.attempt() == 2 ? Result.OK : Result.NEVER_SENT, outcome.result());
+        }
+        assertEquals(4, neverSent);
+    }
+
+    @Test
+    void aClientThatGoesIsLapsedAndItsAttemptStillAccountedFor() throws IOException, InterruptedException {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
+        rig.host("m", StandInServer.host((connection, sql) -> {
+            asked.countDown();
+            await(release);
+            connection.write(Wire.row(VALUE), Wire.ready());
+        }));
+        rig.start(policy);
+        Client client = rig.client();
+        client.send(Rig.look("1"));
+        assertTrue(asked.await(20, TimeUnit.SECONDS));
+        client.close();
+        assertEquals(policy.next(Lapsed.class).request(), 1);
+        release.countDown();
+        Outcome outcome = policy.next(Outcome.class);
+        assertTrue(outcome.complete());
+        assertEquals(1, rig.router().counts().of(Counters.Count.LAPSED));
+        assertEquals(0, rig.router().counts().of(Counters.Count.SERVED));
+    }
+
+    @Test
+    void connectionsAreKeptAndTheNewestIdleGoesFirst() throws IOException, InterruptedException {
+        BlockingQueue<Integer> used = new LinkedBlockingQueue<>();
+        CountDownLatch both = new CountDownLatch(2);
+        StandInServer host = StandInServer.host((connection, sql) -> {
+            used.add(connection.number());
+            if (sql.contains("id=a")) {
+                both.countDown();
+                await(both);
+            }
+            connection.write(Wire.row(VALUE), Wire.ready());
+        });
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
+        rig.host("m", host).start(policy);
+        Client one = rig.client();
+        Client two = rig.client();
+        one.send(Rig.look("a1"));
+        two.send(Rig.look("a2"));
+        assertEquals("TDC", one.types());
+        assertEquals("TDC", two.types());
+        used.clear();
+        for (int i = 0; i < 4; i++) {
+            one.send(Rig.look("b" + i));
+            assertEquals("TDC", one.types());
+        }
+        assertEquals(2, host.accepted());
+        int first = used.take();
+        assertEquals(List.of(first, first, first), List.copyOf(used));
+    }
+
+    @Test
+    void connectionsRetireBeforeTheHostClosesThem() throws IOException, InterruptedException {
+        CountDownLatch ended = new CountDownLatch(1);
+        StandInServer host = new StandInServer(connection -> {
+            connection.welcome();
+            while (connection.query() != null) {
+                connection.write(Wire.row(VALUE), Wire.ready());
+            }
+            ended.countDown();
+        });
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
+        rig.idle(100).host("m", host).start(policy);
+        Client client = rig.client();
+        client.send(Rig.look("1"));
+        assertEquals("TDC", client.types());
+        assertTrue(ended.await(20, TimeUnit.SECONDS));
+        client.send(Rig.look("2"));
+        assertEquals("TDC", client.types());
+        assertNotEquals(1, host.accepted());
+    }
+
+    @Test
+    void anIdleConnectionThatTheHostClosesIsNotUsedAgain() throws IOException, InterruptedException {
+        CountDownLatch closed = new CountDownLatch(1);
+        StandInServer host = new StandInServer(connection -> {
+            connection.welcome();
+            connection.query();
+            connection.write(Wire.row(VALUE), Wire.ready(), Wire.error("57P01"));
+            closed.countDown();
+        });
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
+        rig.host("m", host).start(policy);
+        Client client = rig.client();
+        for (int i = 0; i < 20; i++) {
+            client.send(Rig.look("" + i));
+            assertEquals("TDC", client.types());
+            assertTrue(closed.await(20, TimeUnit.SECONDS));
+        }
+        assertEquals(20, host.accepted());
+    }
+
+    @Test
+    void aMemberThatMovesIsReachedAtItsNewAddress() throws IOException, InterruptedException {
+        StandInServer second = StandInServer.host((connection, sql) -> connection.write(Wire.row(VALUE), Wire.ready()));
+        CountDownLatch ended = new CountDownLatch(1);
+        CountDownLatch moves = new CountDownLatch(1);
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
+        rig.host("spare", second).host("m", new StandInServer(connection -> {
+            connection.welcome();
+            connection.query();
+            connection.write(Wire.row(VALUE), Wire.ready());
+            connection.awaitEnd();
+            ended.countDown();
+        })).discovery(connection -> {
+            await(moves);
+            String line = "{\"revision\":42,\"complete\":false,\"members\":["
+                + Rig.entry("m", second.address(), "Ready", 0) + "]}\n";
+            connection.write(("HTTP/1.1 200 OK\r\n\r\n" + line).getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+            connection.awaitEnd();
+        });
+        rig.start(policy);
+        policy.next(RoutingPolicy.MemberList.class);
+        Client client = rig.client();
+        client.send(Rig.look("1"));
+        assertEquals("TDC", client.types());
+        moves.countDown();
+        policy.next(RoutingPolicy.MemberList.class);
+        assertTrue(ended.await(20, TimeUnit.SECONDS));
+        client.send(Rig.look("2"));
+        assertEquals("TDC", client.types());
+        assertEquals(1, second.accepted());
+    }
+}
--- /dev/null
+++ b/src/test/java/ledgewall/pg/StatementTest.java
@@ -0,0 +1,86 @@
+package ledgewall.pg;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import ledgewall.standin.Wire;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class StatementTest {
+    private static final String FIELDS = "id=9b1f,c=basket,t=acme,d=480,cluster=2";
+
+    private static Statement parse(String sql) throws Statement.Malformed {
+        return Statement.parse(Wire.query(sql));
+    }
+
+    @Test
+    void fieldsAreReadInAnyOrderAndUnknownOnesPassedOver() throws Statement.Malformed {
+        Statement statement = parse("  /*new=7,cluster=12, after=1767225600123 ,r=1,d=5,flag,c=put,id=x*/SELECT 1");
+        assertEquals("put", statement.className());
+        assertEquals("", statement.tenant());
+        assertEquals(5, statement.waitMillis());
+        assertEquals(12, statement.group());
+        assertEquals(1_767_225_600_123L, statement.writtenAtMillis());
+        assertTrue(statement.retry());
+        assertFalse(parse("/* " + FIELDS + " */ SELECT 1").retry());
+        assertEquals("acme", parse("/* " + FIELDS + " */ SELECT 1").tenant());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 48, 479, 480, 12_345, 999_999_999L})
+    void onlyTheDigitsOfTheWaitAreWrittenAnew(long wait) throws Statement.Malformed {
+        String tail = " */ INSERT INTO facts (code, data) VALUES ('it''s d=480 /* no */ ; -- x', E'a\\'b;') RETURNING data";
+        String sql = "/* id=9b1f,d1=3,c=basket,t=d=4,d=480,cluster=2";
+        byte[] written = parse(sql + tail).withWait(wait);
+        assertArrayEquals(Wire.query(sql.replace("d=480", "d=" + wait) + tail), written);
+    }
+
+    @Test
+    void aValueOf64KiBGoesOnToTheByte() throws Statement.Malformed {
+        String sql = "/* " + FIELDS + " */ INSERT INTO facts (code, data) VALUES ('k', '\\x" + "9f".repeat(65_536)
+            + "') RETURNING data";
+        assertArrayEquals(Wire.query(sql.replace("d=480", "d=1000")), parse(sql).withWait(1_000));
+    }
+
+    @Test
+    void theFirstQuotedValueIsTheKey() throws Statement.Malformed {
+        String head = "/* " + FIELDS + " */ SELECT data FROM \"odd'name\" WHERE code = ";
+        long key = parse(head + "'k1'").sessionKey();
+        assertEquals(key, parse("/* " + FIELDS + " */ INSERT INTO f (c, d) VALUES ('k1', 'other')").sessionKey());
+        assertNotEquals(key, parse(head + "'k2'").sessionKey());
+        assertNotEquals(parse(head + "'a''b'").sessionKey(), parse(head + "'a'").sessionKey());
+        assertTrue(key >= 0);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "SELECT 1", "/* id=1 SELECT 1", "/* c=a,d=1,cluster=1 */ SELECT 1", "/* id=1,d=1,cluster=1 */ SELECT 1",
+        "/* id=1,c=a,cluster=1 */ SELECT 1", "/* id=1,c=a,d=1 */ SELECT 1", "/* id=1,c=a,d=,cluster=1 */ SELECT 1",
+        "/* id=1,c=a,d=ten,cluster=1 */ SELECT 1", "/* id=1,c=a,d=-1,cluster=1 */ SELECT 1",
+        "/* id=1,c=a,d=1,cluster=b */ SELECT 1", "/* id=1,c=a,d=1,d=2,cluster=1 */ SELECT 1",
+        "/* id=1,c=a,d=1,cluster=1,after=z */ SELECT 1", "/* id=1,c=a,d=9999999999999999999,cluster=1 */ SELECT 1",
+        "/* id=1,c=a,d=1,cluster=1 */ SELECT 1; SELECT 2", "/* id=1,c=a,d=1,cluster=1 */ SELECT 'open",
+        "/* id=1,c=a,d=1,cluster=1 */ SELECT E'\\'; SELECT 2"})
+    void whatIsNoRequestIsToldApart(String sql) {
+        assertThrows(Statement.Malformed.class, () -> parse(sql));
+    }
+
+    @Test
+    void oneStatementMayEndInASemicolonAndComments() throws Statement.Malformed {
+        assertEquals(480, parse("/* " + FIELDS + " */ SELECT ';' ; -- ; end\n /* ; */ ").waitMillis());
+    }
+
+    @Test
+    void emptyQueriesAreToldApart() throws ProtocolException {
+        for (String sql : new String[] {"", " ", ";", " ; ;\n"}) {
+            byte[] bytes = Wire.query(sql);
+            assertEquals(new ClientMessage.EmptyQuery(), ClientMessage.of(new Frame('Q', bytes)), sql);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ledgewall/standin/Client.java
@@ -0,0 +1,75 @@
+package ledgewall.standin;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A client of the router, on a blocking socket. */
+public final class Client implements AutoCloseable {
+    private static final int PATIENCE_MS = 20_000;
+
+    private final Socket socket = new Socket();
+    private final DataInputStream in;
+
+    public Client(InetSocketAddress router) throws IOException {
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(PATIENCE_MS);
+        socket.connect(router);
+        in = new DataInputStream(socket.getInputStream());
+    }
+
+    /** A client that has been welcomed. */
+    public static Client started(InetSocketAddress router) throws IOException {
+        Client client = new Client(router);
+        client.send(Wire.startup("user", "u", "database", "d"));
+        client.untilReady();
+        return client;
+    }
+
+    public void send(byte[]... parts) throws IOException {
+        socket.getOutputStream().write(Wire.join(parts));
+        socket.getOutputStream().flush();
+    }
+
+    /** The next message, or null at the end. */
+    public Message read() throws IOException {
+        return Message.read(in, true);
+    }
+
+    public int readByte() throws IOException {
+        return in.read();
+    }
+
+    /** All messages up to ReadyForQuery, without it. */
+    public List<Message> untilReady() throws IOException {
+        List<Message> messages = new ArrayList<>();
+        for (Message message = read(); message.type() != 'Z'; message = read()) {
+            messages.add(message);
+        }
+        return messages;
+    }
+
+    /** The types of all messages up to ReadyForQuery, without it. */
+    public String types() throws IOException {
+        StringBuilder types = new StringBuilder();
+        untilReady().forEach(message -> types.append(message.type()));
+        return types.toString();
+    }
+
+    /** Whether the router has ended the connection, possibly by a reset. */
+    public boolean atEnd() throws IOException {
+        try {
+            return in.read() < 0;
+        } catch (java.net.SocketException e) {
+            return true;
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/ledgewall/standin/Message.java
@@ -0,0 +1,34 @@
+package ledgewall.standin;
+
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One message read from a socket; type 0 for a packet without a type. */
+public record Message(char type, byte[] body) {
+    /** The next message, or null at the end of the stream. */
+    public static Message read(DataInputStream in, boolean typed) throws IOException {
+        try {
+            char type = typed ? (char) in.readUnsignedByte() : 0;
+            byte[] body = new byte[in.readInt() - 4];
+            in.readFully(body);
+            return new Message(type, body);
+        } catch (EOFException e) {
+            return null;
+        }
+    }
+
+    public String text() {
+        return new String(body, StandardCharsets.UTF_8);
+    }
+
+    /** The value of one field of an error, or null. */
+    public String field(char name) {
+        List<String> fields = new ArrayList<>(List.of(text().split("\0")));
+        return fields.stream().filter(f -> !f.isEmpty() && f.charAt(0) == name).map(f -> f.substring(1)).findFirst()
+            .orElse(null);
+    }
+}
--- a/src/test/java/ledgewall/net/Wire.java
+++ b/src/test/java/ledgewall/standin/Wire.java
@@ -1,4 +1,4 @@
-package ledgewall.net;
+package ledgewall.standin;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -6,20 +6,20 @@
 import ledgewall.pg.Frame;
 
 /** Messages of the protocol as the other side of a test says them, built apart from the code under test. */
-final class Wire {
+public final class Wire {
     private Wire() {
     }
 
-    static byte[] message(char type, byte[]... parts) {
+    public static byte[] message(char type, byte[]... parts) {
         byte[] body = join(parts);
         return ByteBuffer.allocate(5 + body.length).put((byte) type).putInt(4 + body.length).put(body).array();
     }
 
-    static byte[] text(String text) {
+    public static byte[] text(String text) {
         return (text + "\0").getBytes(StandardCharsets.UTF_8);
     }
 
-    static byte[] join(byte[]... parts) {
+    public static byte[] join(byte[]... parts) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         for (byte[] part : parts) {
             out.writeBytes(part);
@@ -27,15 +27,15 @@
         return out.toByteArray();
     }
 
-    static byte[] int16(int value) {
+    public static byte[] int16(int value) {
         return ByteBuffer.allocate(2).putShort((short) value).array();
     }
 
-    static byte[] int32(int value) {
+    public static byte[] int32(int value) {
         return ByteBuffer.allocate(4).putInt(value).array();
     }
 
-    static byte[] startup(String... namesAndValues) {
+    public static byte[] startup(String... namesAndValues) {
         byte[] body = int32(3 << 16);
         for (String word : namesAndValues) {
             body = join(body, text(word));
@@ -45,44 +45,44 @@
     }
 
     /** A packet without a type: a length and a code. */
-    static byte[] packet(int code) {
+    public static byte[] packet(int code) {
         return join(int32(8), int32(code));
     }
 
-    static byte[] query(String sql) {
+    public static byte[] query(String sql) {
         return message('Q', text(sql));
     }
 
     /** A row of one column in binary, whole. */
-    static byte[] row(byte[] value) {
+    public static byte[] row(byte[] value) {
         return join(description(), dataRow(value), message('C', text("SELECT 1")));
     }
 
-    static byte[] description() {
+    public static byte[] description() {
         return message('T', int16(1), text("data"), int32(0), int16(0), int32(17), int16(-1), int32(-1), int16(1));
     }
 
-    static byte[] dataRow(byte[] value) {
+    public static byte[] dataRow(byte[] value) {
         return message('D', int16(1), int32(value.length), value);
     }
 
-    static byte[] error(String code) {
+    public static byte[] error(String code) {
         return message('E', text("SERROR"), text("C" + code), text("Mno"), new byte[1]);
     }
 
-    static byte[] set(String name, String value) {
+    public static byte[] set(String name, String value) {
         return message('S', text(name), text(value));
     }
 
-    static byte[] ready() {
+    public static byte[] ready() {
         return message('Z', new byte[] {'I'});
     }
 
-    static byte[] welcome() {
+    public static byte[] welcome() {
         return join(message('R', int32(0)), set("server_version", "15.0"), ready());
     }
 
-    static Frame parameter(String name, String value) {
+    public static Frame parameter(String name, String value) {
         return new Frame('S', set(name, value));
     }
 }
