--- a/src/main/java/ledgewall/Main.java
+++ b/src/main/java/ledgewall/Main.java
@@ -1,6 +1,7 @@
 package ledgewall;
 
 import java.io.IOException;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import ledgewall.net.Router;
 import ledgewall.net.RouterConfig;
@@ -23,29 +24,35 @@
     }
 
     static int run(String[] args) {
-        String command = args.length == 1 ? args[0] : "";
+        String command = args.length == 0 ? "" : args[0];
         try {
-            switch (command) {
-                case "serve" -> serve(System.getenv("ROUTER_CONFIG"));
-                case "simhost" -> new SimHost(Brain::new).serve(System.in, System.out);
-                default -> {
-                    System.err.println("usage: ledgewall serve | simhost");
-                    System.err.println("  serve     run one router, configured by the file that ROUTER_CONFIG names");
-                    System.err.println("  simhost   decide for a simulator's instances, on standard input and output");
-                    return EXIT_USAGE;
-                }
+            if (command.equals("serve") && args.length <= 2) {
+                serve(args.length == 2 ? args[1] : System.getenv("ROUTER_CONFIG"));
+                return 0;
             }
-            return 0;
+            if (command.equals("simhost") && args.length == 1) {
+                new SimHost(Brain::new).serve(System.in, System.out);
+                return 0;
+            }
+            System.err.println("usage: ledgewall serve [CONFIG] | simhost");
+            System.err.println("  serve     run one router, configured by the file CONFIG or the one that "
+                + "ROUTER_CONFIG names");
+            System.err.println("  simhost   decide for a simulator's instances, on standard input and output");
+            return EXIT_USAGE;
         } catch (FormatException e) {
             System.err.println("ledgewall: " + e.getMessage());
         } catch (IOException e) {
-            System.err.println("ledgewall: input or output failed: " + e);
+            System.err.println("ledgewall: " + reason(e));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
         return EXIT_FAILURE;
     }
 
+    private static String reason(IOException e) {
+        return e instanceof NoSuchFileException ? "no such file: " + e.getMessage() : e.toString();
+    }
+
     private static void serve(String config) throws IOException, InterruptedException {
         if (config == null) {
             throw new FormatException("the environment names no ROUTER_CONFIG");
--- a/src/main/java/ledgewall/net/Peers.java
+++ b/src/main/java/ledgewall/net/Peers.java
@@ -44,6 +44,11 @@
         socket.bind(listen);
     }
 
+    /** Where datagrams arrive. */
+    InetSocketAddress listening() {
+        return socket.getLocalAddress();
+    }
+
     /** Sends to one router by its number, or to all. */
     void tell(RoutingPolicy.Tell tell) {
         InetSocketAddress to = tell.router() == RoutingPolicy.NONE ? everyone
--- a/src/main/java/ledgewall/net/Router.java
+++ b/src/main/java/ledgewall/net/Router.java
@@ -80,6 +80,10 @@
         return transport.listening();
     }
 
+    InetSocketAddress peersListening() {
+        return peers.listening();
+    }
+
     /** Everything counted so far, on one line. */
     public String counters() {
         return counters.toString();
--- /dev/null
+++ b/src/test/java/ledgewall/net/PartsTest.java
@@ -0,0 +1,113 @@
+package ledgewall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import ledgewall.RoutingPolicy;
+import ledgewall.RoutingPolicy.Event;
+import ledgewall.RoutingPolicy.Lapsed;
+import ledgewall.RoutingPolicy.Result;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The small parts that the router is made of. */
+class PartsTest {
+    @Test
+    void theClockIsAnchoredOnceAndFollowsTheMonotonicOne() {
+        AtomicLong monotonic = new AtomicLong(-500);
+        Clock clock = Clock.of(monotonic::get, 1_000_000);
+        assertEquals(1_000_000, clock.now());
+        monotonic.addAndGet(7);
+        assertEquals(1_000_007, clock.now());
+    }
+
+    @Test
+    void unixTimesAreTranslatedAndZeroStaysLongAgo() {
+        assertEquals(1_767_225_600_123_000_000L, Clock.ofUnixMillis(1_767_225_600_123.0));
+        assertEquals(1_767_225_600_123_000_000L, Clock.ofUnixSeconds(1_767_225_600.123));
+        assertEquals(0, Clock.ofUnixMillis(0));
+        assertEquals(0, Clock.ofUnixMillis(Double.NaN));
+        assertEquals(2, Clock.toMillis(1_000_001));
+    }
+
+    @Test
+    void onlyWhatSurelyNeverRanEndsAsThat() {
+        List<Result> neverRan = List.of(Result.NOT_CONNECTED, Result.REJECTED, Result.MISSED, Result.NEVER_SENT);
+        List<Ending> mayHaveRun = List.of(Ending.SERVED, Ending.HOST_ERROR, Ending.BROKEN_AFTER_WRITTEN, Ending.GARBLED,
+            Ending.TIMED_OUT, Ending.GIVEN_UP);
+        for (Ending ending : Ending.values()) {
+            assertEquals(!mayHaveRun.contains(ending), neverRan.contains(ending.result()), ending.name());
+        }
+    }
+
+    @Test
+    void namesBeyondTheListedGetStableIndexesAndABound() {
+        Names names = new Names(List.of("a", "b"));
+        assertEquals(1, names.index("b"));
+        assertEquals(2, names.index("x"));
+        assertEquals(3, names.index("y"));
+        assertEquals(2, names.index("x"));
+        for (int i = 0; i < 10_000; i++) {
+            names.index("made-up-" + i);
+        }
+        assertEquals(names.index("made-up-9998"), names.index("made-up-9999"));
+        assertEquals(3, names.index("y"));
+    }
+
+    @Test
+    void someDescriptorsAreKeptForProbesAndDiscovery() {
+        Descriptors descriptors = new Descriptors(64 + 48 + 2);
+        descriptors.take();
+        assertTrue(descriptors.roomForTraffic());
+        descriptors.take();
+        assertFalse(descriptors.roomForTraffic());
+        assertTrue(descriptors.room());
+        descriptors.release();
+        assertTrue(descriptors.roomForTraffic());
+    }
+
+    @Test
+    void countersPrintWhatHasCounted() {
+        Counters counters = new Counters();
+        counters.add(Counters.Count.REQUESTS, 3);
+        counters.addEnding(Ending.TURNED_AWAY);
+        assertEquals("requests=3 | attempts ended: turned_away=1", counters.toString());
+    }
+
+    /** What is ready and the timers that are due make one batch, answers before timers. */
+    @Test
+    @Timeout(60)
+    void aTurnTakesAllThatIsReadyAndThenItsTimersInOneBatch() throws InterruptedException {
+        Counters counters = new Counters();
+        EventLoop loop = new EventLoop(Clock.ofSystem(), counters);
+        List<List<Event>> batches = new ArrayList<>();
+        CountDownLatch done = new CountDownLatch(1);
+        loop.decideBy((now, events) -> {
+            batches.add(events);
+            return List.of();
+        }, action -> { });
+        EventLoop.Timer cancelled = loop.in(1, () -> loop.tell(new Lapsed(99)));
+        loop.in(1, () -> loop.tell(new RoutingPolicy.TimerDue(7)));
+        cancelled.cancel();
+        loop.post(() -> loop.tell(new Lapsed(1)));
+        loop.post(() -> {
+            throw new IllegalStateException("one task's fault");
+        });
+        loop.post(() -> loop.tell(new Lapsed(2)));
+        loop.post(() -> loop.in(Rig.MS, done::countDown));
+        Thread thread = new Thread(loop);
+        thread.start();
+        assertTrue(done.await(20, TimeUnit.SECONDS));
+        loop.stop();
+        loop.post(() -> { });
+        thread.join();
+        assertEquals(List.of(List.of(new Lapsed(1), new Lapsed(2), new RoutingPolicy.TimerDue(7))), batches);
+        assertEquals(1, counters.of(Counters.Count.BATCHES));
+    }
+}
--- /dev/null
+++ b/src/test/java/ledgewall/net/PeersTest.java
@@ -0,0 +1,65 @@
+package ledgewall.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.util.Arrays;
+import ledgewall.RoutingPolicy;
+import ledgewall.RoutingPolicy.PeerMessage;
+import ledgewall.standin.ScriptedPolicy;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class PeersTest {
+    private static final int PATIENCE_MS = 20_000;
+    private final Rig rig = new Rig();
+    private final ScriptedPolicy policy = ScriptedPolicy.idle();
+
+    @AfterEach
+    void close() throws IOException {
+        rig.close();
+    }
+
+    private static DatagramSocket socket() throws IOException {
+        DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+        socket.setSoTimeout(PATIENCE_MS);
+        return socket;
+    }
+
+    private static String address(DatagramSocket socket) {
+        return socket.getLocalAddress().getHostAddress() + ":" + socket.getLocalPort();
+    }
+
+    private static byte[] receive(DatagramSocket socket) throws IOException {
+        DatagramPacket packet = new DatagramPacket(new byte[600], 600);
+        socket.receive(packet);
+        return Arrays.copyOf(packet.getData(), packet.getLength());
+    }
+
+    @Test
+    void datagramsGoToOneOrToAllAndComeFromPeersAlone() throws IOException, InterruptedException {
+        try (DatagramSocket one = socket(); DatagramSocket everyone = socket(); DatagramSocket stranger = socket()) {
+            rig.peers("\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:1\",\"" + address(one)
+                + "\"],\"peers_all\":\"" + address(everyone) + "\",").start(policy);
+            policy.command(new RoutingPolicy.Tell(1, new byte[] {1, 2}), new RoutingPolicy.Tell(7, new byte[1]),
+                new RoutingPolicy.Tell(1, new byte[257]), new RoutingPolicy.Tell(RoutingPolicy.NONE, new byte[] {3}));
+            assertArrayEquals(new byte[] {1, 2}, receive(one));
+            assertArrayEquals(new byte[] {3}, receive(everyone));
+            var router = rig.router().peersListening();
+            stranger.send(new DatagramPacket(new byte[] {9}, 1, router));
+            one.send(new DatagramPacket(new byte[257], 257, router));
+            one.send(new DatagramPacket(new byte[256], 256, router));
+            PeerMessage message = policy.next(PeerMessage.class);
+            assertEquals(1, message.from());
+            assertEquals(256, message.content().length);
+            assertEquals(4, rig.router().counts().of(Counters.Count.BAD_PEER_MESSAGES));
+            assertEquals(2, rig.router().counts().of(Counters.Count.PEER_MESSAGES_OUT));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/ledgewall/net/ProbesTest.java
@@ -0,0 +1,106 @@
+package ledgewall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import ledgewall.RoutingPolicy;
+import ledgewall.RoutingPolicy.ProbeResult;
+import ledgewall.RoutingPolicy.Result;
+import ledgewall.RoutingPolicy.Role;
+import ledgewall.standin.ScriptedPolicy;
+import ledgewall.standin.StandInServer;
+import ledgewall.standin.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+@Timeout(60)
+class ProbesTest {
+    private final Rig rig = new Rig();
+    private final ScriptedPolicy policy = ScriptedPolicy.idle();
+
+    @AfterEach
+    void close() throws IOException {
+        rig.close();
+    }
+
+    private ProbeResult probe(StandInServer host) throws IOException, InterruptedException {
+        rig.host("m", host).start(policy);
+        policy.command(new RoutingPolicy.Probe("m"));
+        return policy.next(ProbeResult.class);
+    }
+
+    private static byte[] report(String text) {
+        return Wire.row(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    @Test
+    void aReportIsAskedForOverOneKeptConnection() throws IOException, InterruptedException {
+        BlockingQueue<String> queries = new LinkedBlockingQueue<>();
+        StandInServer host = StandInServer.host((connection, sql) -> {
+            queries.add(sql);
+            connection.write(report("x0=1767225600.123,x1=1"), Wire.ready());
+        });
+        ProbeResult result = probe(host);
+        assertEquals(Result.OK, result.result());
+        assertEquals(1_767_225_600_123_000_000L, result.report().position());
+        assertEquals(Role.PRIMARY, result.report().role());
+        assertTrue(result.elapsed() > 0);
+        policy.command(new RoutingPolicy.Probe("m"));
+        policy.next(ProbeResult.class);
+        assertEquals(1, host.accepted());
+        assertEquals("SHOW stats", queries.take());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"57P03,REJECTED", "53300,REJECTED", "42501,ERROR"})
+    void anErrorSaysHowTheMemberIs(String code, Result result) throws IOException, InterruptedException {
+        ProbeResult probe = probe(StandInServer.host((connection, sql) -> connection.write(Wire.error(code), Wire.ready())));
+        assertEquals(result, probe.result());
+        assertNull(probe.report());
+    }
+
+    @Test
+    void silenceTimesOutAndTheConnectionIsNotUsedAgain() throws IOException, InterruptedException {
+        rig.connectTimeout(40);
+        StandInServer host = StandInServer.host((connection, sql) -> {
+            if (connection.number() == 1) {
+                connection.awaitEnd();
+            }
+            connection.write(report("x1=0"), Wire.ready());
+        });
+        assertEquals(Result.TIMED_OUT, probe(host).result());
+        policy.command(new RoutingPolicy.Probe("m"));
+        policy.next(ProbeResult.class);
+        assertEquals(2, host.accepted());
+    }
+
+    @Test
+    void aMemberThatIsNotThereIsNotConnected() throws IOException, InterruptedException {
+        StandInServer host = StandInServer.host((connection, sql) -> { });
+        host.close();
+        assertEquals(Result.NOT_CONNECTED, probe(host).result());
+    }
+
+    @Test
+    void disconnectClosesIdleConnectionsOfRequests() throws IOException, InterruptedException {
+        StandInServer host = StandInServer.host((connection, sql) -> connection.write(report("x1=0"), Wire.ready()));
+        ScriptedPolicy sends = ScriptedPolicy.sendTo("m", 0);
+        rig.host("m", host).start(sends);
+        rig.client().send(Rig.look("1"));
+        sends.next(RoutingPolicy.Outcome.class);
+        sends.command(new RoutingPolicy.Disconnect("m"), new RoutingPolicy.Disconnect("unknown"),
+            new RoutingPolicy.Probe("unknown"), new RoutingPolicy.Note("noted"), new RoutingPolicy.Probe("m"));
+        sends.next(ProbeResult.class);
+        rig.client().send(Rig.look("2"));
+        sends.next(RoutingPolicy.Outcome.class);
+        assertEquals(3, host.accepted());
+    }
+}
--- /dev/null
+++ b/src/test/java/ledgewall/net/StartTest.java
@@ -0,0 +1,77 @@
+package ledgewall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import ledgewall.settings.FormatException;
+import ledgewall.standin.ScriptedPolicy;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+@Timeout(60)
+class StartTest {
+    private final Rig rig = new Rig();
+
+    @AfterEach
+    void close() throws IOException {
+        rig.close();
+    }
+
+    private static RouterConfig parse(String json) throws IOException {
+        return RouterConfig.parse(json.getBytes(StandardCharsets.UTF_8), "config.json");
+    }
+
+    @Test
+    void aConfigurationIsReadWhole() throws IOException {
+        rig.member("m", "127.0.0.1:9").peers("\"peer_listen\":\"127.0.0.4:7946\",\"peers\":[\"127.0.0.5:1\","
+            + "\"127.0.0.6:2\"],\"peers_all\":\"127.0.0.7:3\",");
+        RouterConfig config = parse(rig.config());
+        assertEquals("r1", config.name());
+        assertEquals(Long.parseUnsignedLong("8c1f30d27a5be964", 16), config.seed());
+        assertEquals(1_024, config.sockets());
+        assertEquals(new InetSocketAddress("127.0.0.6", 2), config.peers().get(1));
+        assertEquals(new InetSocketAddress("127.0.0.7", 3), config.peersAll());
+        assertEquals(41, config.known().revision());
+        assertEquals(3, config.settings().classes().size());
+        assertEquals(10_000 * Rig.MS, config.transport().connectTimeout());
+        assertEquals(900 * Rig.MS, config.transport().longestDeadline());
+        assertTrue(config.transport().reports());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "[]", "{", "{}", "{\"settings\":{}}"})
+    void aBrokenConfigurationIsTold(String json) {
+        assertThrows(FormatException.class, () -> parse(json));
+    }
+
+    @ParameterizedTest
+    @CsvSource({"127.0.0.1:0,127.0.0.1", "8c1f30d27a5be964,xyz", "\"revision\":41,\"revision\":\"a\"", "Ready,Lost"})
+    void aBrokenFieldIsTold(String from, String to) throws IOException {
+        String json = rig.member("m", "127.0.0.1:9").config().replace(from, to);
+        assertThrows(FormatException.class, () -> parse(json));
+    }
+
+    @Test
+    void anAddressThatIsTakenIsTold() throws IOException {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            rig.listen("127.0.0.1:" + taken.getLocalPort());
+            assertThrows(IOException.class, () -> rig.start(ScriptedPolicy.idle()));
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"127.0.0.1", ":5", "127.0.0.1:", "127.0.0.1:65536", "127.0.0.1:-1", "some.host:5", "a b:5"})
+    void whatIsNoAddressAndPortIsTold(String text) {
+        assertThrows(FormatException.class, () -> RouterConfig.address("here", "listen", text));
+    }
+}
