--- a/src/main/java/ledgewall/net/ClientConnection.java
+++ b/src/main/java/ledgewall/net/ClientConnection.java
@@ -18,8 +18,8 @@
 final class ClientConnection implements Endpoint {
     /** A statement with a value of 64 KiB in hexadecimal digits, and room beside it. */
     private static final int LONGEST_MESSAGE = 192 * 1024;
-    /** Commands in hand from which on nothing more is read until some are answered. */
-    private static final int MOST_PIPELINED = 16;
+    /** Commands in hand from which on the next ones wait, and nothing more is read, until some are answered. */
+    private static final int MOST_PIPELINED = 64;
 
     /** What takes requests in. */
     interface Owner {
@@ -38,6 +38,7 @@
     private final Owner owner;
     private final FrameReader frames = FrameReader.ofClient(LONGEST_MESSAGE);
     private final Deque<Slot> slots = new ArrayDeque<>();
+    private final Deque<Waiting> waiting = new ArrayDeque<>();
     private IoSession session;
     private boolean admitted;
     private boolean closed;
@@ -45,10 +46,18 @@
     private boolean closing;
     private boolean closesAfterAnswer;
     private boolean broken;
+    private boolean taking;
     private int partial;
     private int taken;
     private int unsent;
 
+    /** A command that has come, and when, but is not in hand yet. */
+    private record Waiting(ClientMessage message, long at) {
+        int size() {
+            return message instanceof ClientMessage.Query query ? query.statement().size() : 0;
+        }
+    }
+
     /** The place of one command's answer. */
     final class Slot {
         private ClientRequest request;
@@ -79,10 +88,7 @@
     @Override
     public void written(int bytes) {
         unsent -= bytes;
-        hold();
-        if (!closed && session.isReadSuspended() && mayRead()) {
-            session.resumeRead();
-        }
+        takeWaiting();
     }
 
     @Override
@@ -108,16 +114,41 @@
     }
 
     private void take(List<ClientMessage> messages, int rest, long at) {
+        if (closed || broken) {
+            return;
+        }
         partial = rest;
         for (ClientMessage message : messages) {
-            if (closed || broken) {
-                return;
-            }
-            take(message, at);
+            Waiting next = new Waiting(message, at);
+            waiting.add(next);
+            taken += next.size();
+        }
+        takeWaiting();
+    }
+
+    /** Takes what waits as long as there is room for it; reads on only once nothing waits. */
+    private void takeWaiting() {
+        if (taking) {
+            return; // an answer at once, from within
+        }
+        taking = true;
+        while (!closed && !waiting.isEmpty() && hasRoom()) {
+            Waiting next = waiting.poll();
+            taken -= next.size();
+            take(next.message(), next.at());
+        }
+        taking = false;
+        if (closed) {
+            return;
         }
         hold();
-        if (!closed && !mayRead()) {
-            session.suspendRead();
+        boolean reads = waiting.isEmpty() && hasRoom() && !closing;
+        if (!closed && reads == session.isReadSuspended()) {
+            if (reads) {
+                session.resumeRead();
+            } else {
+                session.suspendRead();
+            }
         }
     }
 
@@ -140,9 +171,20 @@
             push(MessageWriter.join(MessageWriter.emptyQueryResponse(), MessageWriter.readyForQuery()));
         } else if (message instanceof ClientMessage.Unserved unserved && !skipping) {
             refuse(unserved.sqlState(), unserved.reason());
+        } else if (message instanceof ClientMessage.Broken fault) {
+            last(fault.reason());
         }
     }
 
+    /** The connection ends with this error, once all before it is answered. */
+    private void last(String reason) {
+        Slot slot = new Slot();
+        slot.last = true;
+        slots.add(slot);
+        closing = true;
+        slot.fill(MessageWriter.fatal(SqlState.PROTOCOL_VIOLATION, reason));
+    }
+
     private void start(ClientMessage.Startup startup) {
         push(startup.minor() == 0 ? MessageWriter.welcome()
             : MessageWriter.join(MessageWriter.negotiateVersion(), MessageWriter.welcome()));
@@ -175,12 +217,8 @@
         }
         wiring.counters().add(Counters.Count.BAD_CLIENTS);
         broken = true;
-        Slot slot = new Slot();
-        slot.last = true;
-        slots.add(slot);
-        closing = true;
-        session.suspendRead();
-        slot.fill(MessageWriter.fatal(SqlState.PROTOCOL_VIOLATION, reason));
+        waiting.add(new Waiting(new ClientMessage.Broken(reason), 0));
+        takeWaiting();
     }
 
     /** Writes the answers that are next in order. */
@@ -195,17 +233,14 @@
                 closeOnFlush();
             }
         }
-        if (!closed && closing && slots.isEmpty()) {
+        if (!closed && closing && slots.isEmpty() && waiting.isEmpty()) {
             closeOnFlush();
         }
-        hold();
-        if (!closed && session.isReadSuspended() && mayRead()) {
-            session.resumeRead();
-        }
+        takeWaiting();
     }
 
-    private boolean mayRead() {
-        return !closing && slots.size() < MOST_PIPELINED && unsent < LONGEST_MESSAGE;
+    private boolean hasRoom() {
+        return slots.size() < MOST_PIPELINED && unsent < LONGEST_MESSAGE;
     }
 
     /** Accounts for the bytes that this client makes the router hold. */
@@ -218,8 +253,10 @@
     /** Ends the connection after what it has in hand; at once if there is nothing. */
     void closeAfterAnswers() {
         closing = true;
-        if (!closed && slots.isEmpty()) {
+        if (!closed && slots.isEmpty() && waiting.isEmpty()) {
             closeOnFlush();
+        } else {
+            takeWaiting();
         }
     }
 
@@ -264,6 +301,7 @@
             }
         }
         slots.clear();
+        waiting.clear();
         if (admitted) {
             owner.left(this);
         }
--- a/src/main/java/ledgewall/pg/ClientMessage.java
+++ b/src/main/java/ledgewall/pg/ClientMessage.java
@@ -34,6 +34,9 @@
 
     record Terminate() implements ClientMessage { }
 
+    /** Where the client's speech stops being protocol: nothing after it can be read. */
+    record Broken(String reason) implements ClientMessage { }
+
     static ClientMessage of(Frame frame) throws ProtocolException {
         return switch (frame.type()) {
             case Frame.UNTYPED -> opening(frame);
