Keep waits, times and nested lists within what fits

Found by reading: a wait of fifteen digits overflowed the clock, a position of 1e30 too, and a list nested a thousand deep would have cost the I/O thread its stack. Each has a test.

--- a/src/main/java/ledgewall/discovery/ListParser.java
+++ b/src/main/java/ledgewall/discovery/ListParser.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import java.io.IOException;
 import java.util.List;
 import ledgewall.settings.Fields;
@@ -10,7 +11,10 @@
 
 /** Reads lists and changes from JSON. */
 public final class ListParser {
-    private static final JsonFactory JSON = new JsonFactory();
+    /** A list nests three levels; what nests deeper than this is none, and would cost stack to read. */
+    private static final int DEEPEST = 16;
+    private static final JsonFactory JSON = JsonFactory.builder()
+        .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(DEEPEST).build()).build();
 
     private ListParser() {
     }
--- a/src/main/java/ledgewall/net/Clock.java
+++ b/src/main/java/ledgewall/net/Clock.java
@@ -9,6 +9,8 @@
  */
 final class Clock {
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    /** The year 2200: later times are none, and would not fit. */
+    private static final double LAST_MILLIS = 7.258e12;
     private static final double MILLIS_PER_SECOND = 1e3;
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
 
@@ -33,9 +35,9 @@
         return monotonic.getAsLong() + offset;
     }
 
-    /** A Unix time in milliseconds on this clock; 0 stays 0, for "long ago" and "none". */
+    /** A Unix time in milliseconds on this clock; 0 stays 0, for "long ago" and "none", as what is no time does. */
     static long ofUnixMillis(double millis) {
-        return !(millis > 0) ? 0 : (long) Math.floor(millis) * NANOS_PER_MILLI;
+        return millis > 0 && millis < LAST_MILLIS ? (long) Math.floor(millis) * NANOS_PER_MILLI : 0;
     }
 
     /** A Unix time in seconds, told to the millisecond, on this clock. */
--- a/src/main/java/ledgewall/net/Desk.java
+++ b/src/main/java/ledgewall/net/Desk.java
@@ -15,6 +15,9 @@
 
 /** Takes requests in, tells the policy of them, and gives each its one answer. */
 final class Desk implements ClientConnection.Owner, Attempt.Listener {
+    /** A day: no client waits longer, and much longer would not fit the clock. */
+    private static final long LONGEST_WAIT_MILLIS = 24L * 3_600 * 1_000;
+
     private final Wiring wiring;
     private final RoutingPolicy.Settings settings;
     private final Members members;
@@ -59,7 +62,7 @@
     @Override
     public ClientRequest take(Statement statement, ClientConnection.Slot slot, long at) {
         wiring.counters().add(Counters.Count.REQUESTS);
-        long deadline = at + Clock.millis(statement.waitMillis());
+        long deadline = at + Clock.millis(Math.min(statement.waitMillis(), LONGEST_WAIT_MILLIS));
         ClientRequest request = new ClientRequest(++lastNumber, statement, deadline, slot);
         int index = vocabulary.classes().indexOf(statement.className());
         if (index < 0) {
--- a/src/test/java/ledgewall/discovery/ListParserTest.java
+++ b/src/test/java/ledgewall/discovery/ListParserTest.java
@@ -34,6 +34,12 @@
         assertEquals(Member.Phase.GONE, update.members().get(0).phase());
     }
 
+    @Test
+    void whatNestsDeeplyIsNoList() {
+        String deep = "[".repeat(900) + "]".repeat(900);
+        assertThrows(FormatException.class, () -> parse("{\"revision\":1,\"members\":[],\"x\":" + deep + "}"));
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {
         "", "[]", "{", "{}", "{\"revision\":1}", "{\"members\":[]}", "{\"revision\":\"x\",\"members\":[]}",
--- a/src/test/java/ledgewall/net/ClientsTest.java
+++ b/src/test/java/ledgewall/net/ClientsTest.java
@@ -146,6 +146,16 @@
         assertEquals(0, rig.router().counts().of(Counters.Count.FAILED));
     }
 
+    @Test
+    void aWaitBeyondAllTimeIsADay() throws IOException, InterruptedException {
+        ScriptedPolicy policy = ScriptedPolicy.idle();
+        rig.start(policy);
+        rig.client().send(Wire.query(Rig.sql("id=1,c=own,d=999999999999999,cluster=2,after=999999999999999")));
+        Arrival arrival = policy.next(Arrival.class);
+        assertTrue(arrival.timeLeft() > 0 && arrival.timeLeft() <= 86_400_000L * Rig.MS, "" + arrival.timeLeft());
+        assertEquals(RoutingPolicy.NONE, arrival.sinceWrite());
+    }
+
     @Test
     void aRequestThatThePolicyLeavesIsFailedOnceItIsOverdue() throws IOException, InterruptedException {
         ScriptedPolicy policy = ScriptedPolicy.idle();
--- a/src/test/java/ledgewall/net/PartsTest.java
+++ b/src/test/java/ledgewall/net/PartsTest.java
@@ -33,6 +33,8 @@
         assertEquals(1_767_225_600_123_000_000L, Clock.ofUnixSeconds(1_767_225_600.123));
         assertEquals(0, Clock.ofUnixMillis(0));
         assertEquals(0, Clock.ofUnixMillis(Double.NaN));
+        assertEquals(0, Clock.ofUnixMillis(1e30));
+        assertEquals(0, Clock.ofUnixSeconds(-1e30));
         assertEquals(2, Clock.toMillis(1_000_001));
     }
 
