--- a/src/test/java/ledgewall/net/OutcomesTest.java
+++ b/src/test/java/ledgewall/net/OutcomesTest.java
@@ -9,6 +9,9 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -104,6 +107,29 @@
         assertEquals(1, rig.router().counts().of(Ending.CONNECT_TIMED_OUT));
     }
 
+    /** A machine that is cut off: nobody accepts, the queue is full, and what asks to connect hears nothing. */
+    @Test
+    void aHostThatSaysNothingAtAllNeverRan() throws IOException, InterruptedException {
+        try (ServerSocket silent = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            List<Socket> queued = new ArrayList<>();
+            try {
+                while (queued.size() < 64) {
+                    Socket socket = new Socket();
+                    queued.add(socket);
+                    socket.connect(silent.getLocalSocketAddress(), 200);
+                }
+            } catch (SocketTimeoutException e) {
+                // the queue is full
+            }
+            rig.connectTimeout(50).member("m", "127.0.0.1:" + silent.getLocalPort());
+            assertEquals(Result.NOT_CONNECTED, outcome(rig, 0).result());
+            assertEquals(1, rig.router().counts().of(Ending.CONNECT_TIMED_OUT));
+            for (Socket socket : queued) {
+                socket.close();
+            }
+        }
+    }
+
     @Test
     void aConnectionThatEndsBeforeTheRequestIsWrittenNeverRan() throws IOException, InterruptedException {
         Outcome outcome = outcome(new StandInServer(connection -> Message.read(connection.in(), false)));
