--- a/src/main/java/ledgewall/net/Counters.java
+++ b/src/main/java/ledgewall/net/Counters.java
@@ -1,6 +1,7 @@
 package ledgewall.net;
 
 import java.util.EnumMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.atomic.LongAdder;
 
@@ -50,14 +51,14 @@
     public String toString() {
         StringBuilder text = new StringBuilder();
         counts.forEach((count, value) -> append(text, count, value));
-        text.append(" | attempts ended:");
-        endings.forEach((ending, value) -> append(text, ending, value));
-        return text.toString().trim();
+        StringBuilder ended = new StringBuilder();
+        endings.forEach((ending, value) -> append(ended, ending, value));
+        return (ended.isEmpty() ? text : text.append(" | attempts ended:").append(ended)).toString().trim();
     }
 
     private static void append(StringBuilder text, Enum<?> name, LongAdder value) {
         if (value.sum() != 0) {
-            text.append(' ').append(name.name().toLowerCase(java.util.Locale.ROOT)).append('=').append(value.sum());
+            text.append(' ').append(name.name().toLowerCase(Locale.ROOT)).append('=').append(value.sum());
         }
     }
 }
--- a/src/test/java/ledgewall/net/PartsTest.java
+++ b/src/test/java/ledgewall/net/PartsTest.java
@@ -78,6 +78,7 @@
     void countersPrintWhatHasCounted() {
         Counters counters = new Counters();
         counters.add(Counters.Count.REQUESTS, 3);
+        assertEquals("requests=3", counters.toString());
         counters.addEnding(Ending.TURNED_AWAY);
         assertEquals("requests=3 | attempts ended: turned_away=1", counters.toString());
     }
