Serve on for a while in a planned stop, and fail what is left instead of losing it

By the routers' logs n1 was told to stop at 17.00 s and had closed at 17.48 s, while n0, told at 14.00 s and started again some 3 s later, listened only at 18.16 s: no router for a second. Cause: Router.drain closed idle connections at once and the others after their answer. PROTOCOL lets clients use what they have for as long as it is open, and kills no sooner than 3 s and 0.7 s later. Also: requests still held when the process ended were closed without an answer (lost); the latest moment counted the longest deadline in full (5 s), later than the kill. Both are now an error at 3.4 s. Change: served on for six tenths of 3.4 s, then idle connections close and the rest after their answers.

--- a/src/main/java/ledgewall/net/Desk.java
+++ b/src/main/java/ledgewall/net/Desk.java
@@ -285,12 +285,16 @@
     /** From now on connections close once nothing of theirs is in hand; new ones after their first answer. */
     void drain() {
         draining = true;
-        closeIdleClients();
+        new ArrayList<>(clients).forEach(ClientConnection::closeAfterAnswers);
     }
 
-    /** No more clients come: those that are left close once nothing of theirs is in hand. */
-    void closeIdleClients() {
-        new ArrayList<>(clients).forEach(ClientConnection::closeAfterAnswers);
+    /** Whatever has no answer yet fails. */
+    void failAll() {
+        for (ClientRequest request : List.copyOf(requests.values())) {
+            if (request.answer(failure("the router stops"))) {
+                wiring.counters().add(Counters.Count.FAILED);
+            }
+        }
     }
 
     boolean hasClients() {
--- a/src/main/java/ledgewall/net/Router.java
+++ b/src/main/java/ledgewall/net/Router.java
@@ -15,6 +15,12 @@
     private static final Logger LOG = LoggerFactory.getLogger(Router.class);
     /** How long new connections may still come after a planned stop has begun, and a little more. */
     private static final long STILL_ACCEPTED = Clock.millis(450);
+    /** A stopped process may be killed after its longest deadline, counted as 3 s where it is longer, and 0.7 s more. */
+    private static final long LONGEST_STOP = Clock.millis(3_000);
+    /** Of those 0.7 s all but what the last answers and the process's own end need. */
+    private static final long BEFORE_THE_END = Clock.millis(400);
+    /** Part of a stop in which clients are served on the connections they have; the rest is for what is in hand then. */
+    private static final double SERVED_ON = 0.6;
     /** How often what has no timer of its own is looked after: connections that grow old. */
     private static final long SWEEP = Clock.millis(250);
 
@@ -31,7 +37,6 @@
     private final Thread thread = new Thread(loop, "ledgewall-loop");
     private final CountDownLatch closed = new CountDownLatch(1);
     private boolean draining;
-    private boolean accepting = true;
 
     private Router(RouterConfig config, RoutingPolicy.Factory factory) {
         this.config = config;
@@ -162,7 +167,10 @@
         });
     }
 
-    /** Begins a planned stop: what was taken is answered, then the router closes. Returns at once. */
+    /**
+     * Begins a planned stop: clients are served on the connections they have for a while, since their other routers may
+     * be restarting too; then what was taken is answered, and the router closes. Returns at once.
+     */
     public void drain() {
         loop.post(() -> {
             if (draining) {
@@ -170,22 +178,31 @@
             }
             draining = true;
             LOG.info("{} drains", config.name());
-            desk.drain();
+            long longest = config.transport().longestDeadline();
+            long last = (longest > 0 ? Math.min(longest, LONGEST_STOP) : LONGEST_STOP) + BEFORE_THE_END;
             loop.in(STILL_ACCEPTED, this::stopAccepting);
-            long longest = config.transport().longestDeadline() + config.transport().answerSlack();
-            loop.in(STILL_ACCEPTED + longest, this::finish);
+            loop.in(Math.max(STILL_ACCEPTED, (long) (last * SERVED_ON)), this::closeClients);
+            loop.in(last, this::failAll);
         });
     }
 
     private void stopAccepting() {
-        accepting = false;
         // not on the loop: unbinding waits for the acceptor's thread, which must not wait for the loop
         Thread unbind = new Thread(transport::stopListening, "ledgewall-unbind");
         unbind.start();
-        desk.closeIdleClients();
+    }
+
+    private void closeClients() {
+        desk.drain();
         finishWhenDrained();
     }
 
+    /** The process will be killed soon: what is unanswered fails now rather than being lost. */
+    private void failAll() {
+        desk.failAll();
+        loop.in(FLUSH, this::finish);
+    }
+
     private void finishWhenDrained() {
         if (!desk.hasClients()) {
             loop.in(FLUSH, this::finish);
