--- a/src/main/java/ledgewall/net/ClientConnection.java
+++ b/src/main/java/ledgewall/net/ClientConnection.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import ledgewall.pg.ClientMessage;
 import ledgewall.pg.Frame;
 import ledgewall.pg.FrameReader;
@@ -26,6 +27,10 @@
      * and connecting took its time.
      */
     private static final long UNTIL_ASKED = Clock.millis(2_300);
+    /** Reads that wait for the loop, from which on no more is read: no flood outruns the loop or fills its queue. */
+    private static final int MOST_READS_WAITING = 4;
+    /** Encryption is asked for once each way at most. */
+    private static final int MOST_DECLINED = 2;
     /** Commands that are none, after which a client is no usual one. */
     private static final int MOST_FAULTS = 8;
 
@@ -53,6 +58,7 @@
     private final FrameReader frames = FrameReader.ofClient(LONGEST_MESSAGE);
     private final Deque<Slot> slots = new ArrayDeque<>();
     private final Deque<Waiting> waiting = new ArrayDeque<>();
+    private final AtomicInteger readsWaiting = new AtomicInteger();
     private IoSession session;
     private boolean admitted;
     private boolean closed;
@@ -66,6 +72,7 @@
     private int unsent;
     private boolean asked;
     private int faults;
+    private int declined;
     private long openedAt;
     private long idleSince;
     private long partialSince;
@@ -112,7 +119,21 @@
     }
 
     @Override
-    public Runnable receive(ByteBuffer bytes, long at) {
+    public Runnable receive(ByteBuffer bytes, long at, IoSession from) {
+        if (readsWaiting.incrementAndGet() >= MOST_READS_WAITING) {
+            from.suspendRead(); // the loop takes it up again once it has come so far
+        }
+        Runnable taken = parse(bytes, at);
+        return () -> {
+            readsWaiting.decrementAndGet();
+            taken.run();
+            if (!closed) {
+                readOn();
+            }
+        };
+    }
+
+    private Runnable parse(ByteBuffer bytes, long at) {
         List<ClientMessage> messages = new ArrayList<>();
         try {
             List<Frame> received = new ArrayList<>();
@@ -162,8 +183,13 @@
         if (closed) {
             return;
         }
+        readOn();
+    }
+
+    /** Has more read, or no more, as there is room for it. */
+    private void readOn() {
         hold();
-        boolean reads = waiting.isEmpty() && hasRoom() && !closing;
+        boolean reads = waiting.isEmpty() && hasRoom() && !closing && readsWaiting.get() < MOST_READS_WAITING;
         if (!closed && reads == session.isReadSuspended()) {
             if (reads) {
                 session.resumeRead();
@@ -183,7 +209,11 @@
         } else if (message instanceof ClientMessage.Startup startup) {
             start(startup);
         } else if (message instanceof ClientMessage.EncryptionRequest) {
-            push(new byte[] {'N'});
+            if (++declined > MOST_DECLINED) {
+                fatal("encryption is not offered");
+            } else {
+                push(new byte[] {'N'});
+            }
         } else if (message instanceof ClientMessage.CancelRequest || message instanceof ClientMessage.Terminate) {
             close();
         } else if (message instanceof ClientMessage.Sync) {
--- a/src/main/java/ledgewall/net/Desk.java
+++ b/src/main/java/ledgewall/net/Desk.java
@@ -260,6 +260,10 @@
     public void ended(Attempt attempt, Ending ending, Reply reply, long at) {
         ClientRequest request = attempt.request();
         wiring.counters().addEnding(ending);
+        if (ending == Ending.BAD_STATEMENT && request.answer(
+                withReady(MessageWriter.error(SqlState.SYNTAX_ERROR, "no member could use this statement")))) {
+            wiring.counters().add(Counters.Count.BAD_QUERIES);
+        }
         wiring.loop().tell(new RoutingPolicy.Outcome(
             request.number(), attempt.number(), attempt.member(), ending.result(), Math.max(0, at - attempt.sentAt()),
             request.isOver(), Notes.role(reply), Notes.position(reply, at), Notes.report(reply, at)));
@@ -282,6 +286,16 @@
 
     // ---- The end
 
+    /** What is open now, for whoever asks. */
+    String view() {
+        return clients.size() + " clients (" + silent.size() + " silent, " + idle.size() + " idle), "
+            + requests.size() + " requests in hand, " + ids.size() + " ids remembered";
+    }
+
+    String sizes() {
+        return "requests " + requests.size() + ", clients " + clients.size() + ", ids " + ids.size();
+    }
+
     /** From now on connections close once nothing of theirs is in hand; new ones after their first answer. */
     void drain() {
         draining = true;
--- a/src/main/java/ledgewall/net/Discovery.java
+++ b/src/main/java/ledgewall/net/Discovery.java
@@ -176,7 +176,7 @@
         }
 
         @Override
-        public Runnable receive(ByteBuffer bytes, long at) {
+        public Runnable receive(ByteBuffer bytes, long at, IoSession from) {
             boolean broken = false;
             try {
                 http.feed(bytes);
--- a/src/main/java/ledgewall/net/Ending.java
+++ b/src/main/java/ledgewall/net/Ending.java
@@ -10,6 +10,8 @@
     NOT_PRIMARY(Result.MISSED),
     /** 72000: the member's data is too old for the read. */
     TOO_FAR_BEHIND(Result.MISSED),
+    /** 08P01 or a syntax error: the statement itself is wrong, which its client is told; the member did as it should. */
+    BAD_STATEMENT(Result.ERROR),
     /** XX000, or a code that the protocol does not name: it may have run. */
     HOST_ERROR(Result.ERROR),
     /** 53300: queue full, draining, too many connections, or over already. */
@@ -47,6 +49,7 @@
             case SqlState.READ_ONLY -> NOT_PRIMARY;
             case SqlState.TOO_FAR_BEHIND -> TOO_FAR_BEHIND;
             case SqlState.TOO_MANY_CONNECTIONS -> TURNED_AWAY;
+            case SqlState.PROTOCOL_VIOLATION, SqlState.SYNTAX_ERROR -> BAD_STATEMENT;
             default -> HOST_ERROR;
         };
     }
--- a/src/main/java/ledgewall/net/Endpoint.java
+++ b/src/main/java/ledgewall/net/Endpoint.java
@@ -6,7 +6,7 @@
 /** The router's end of one connection. */
 interface Endpoint {
     /** On the I/O thread: takes in all the bytes and says what the loop is to do with what they hold. */
-    Runnable receive(ByteBuffer bytes, long at);
+    Runnable receive(ByteBuffer bytes, long at, IoSession from);
 
     /** On the loop: the connection is up. */
     void opened(IoSession session);
--- a/src/main/java/ledgewall/net/HostConnection.java
+++ b/src/main/java/ledgewall/net/HostConnection.java
@@ -93,7 +93,7 @@
     }
 
     @Override
-    public Runnable receive(ByteBuffer bytes, long at) {
+    public Runnable receive(ByteBuffer bytes, long at, IoSession from) {
         List<Frame> received = new ArrayList<>();
         try {
             frames.feed(bytes, received::add);
--- a/src/main/java/ledgewall/net/HostPool.java
+++ b/src/main/java/ledgewall/net/HostPool.java
@@ -24,6 +24,7 @@
     private final Set<HostConnection> retiring = new HashSet<>();
     private final Set<HostConnection> all = new HashSet<>();
     private InetSocketAddress address;
+    private long lastAnswer;
 
     private HostPool(Wiring wiring, InetSocketAddress address, long rest) {
         this.wiring = wiring;
@@ -84,7 +85,22 @@
         return all.isEmpty();
     }
 
+    /** Connections that carry something or are on their way up. */
+    int busy() {
+        return all.size() - idle.size();
+    }
+
+    int idle() {
+        return idle.size();
+    }
+
+    /** When an exchange last came to its end here, 0 for never. */
+    long lastAnswer() {
+        return lastAnswer;
+    }
+
     private void release(HostConnection connection) {
+        lastAnswer = wiring.loop().now();
         if (retiring.contains(connection)) {
             connection.close();
         } else {
--- a/src/main/java/ledgewall/net/Members.java
+++ b/src/main/java/ledgewall/net/Members.java
@@ -125,6 +125,18 @@
         }
     }
 
+    /** What is open to each member now, and how long ago it last answered a probe: the router's side of the sockets. */
+    String view() {
+        long now = wiring.loop().now();
+        return hosts.entrySet().stream().map(entry -> {
+            Host host = entry.getValue();
+            long probed = host.probes().lastAnswer();
+            return entry.getKey() + ": " + host.requests().busy() + " in flight, " + host.requests().idle() + " idle, "
+                + (probed == 0 ? "no probe answered" : "probe answered " + Clock.toMillis(now - probed) + " ms ago")
+                + (forgotten.containsKey(entry.getKey()) ? ", gone" : "");
+        }).collect(Collectors.joining("; "));
+    }
+
     /** Members known, those that are being forgotten included. */
     int size() {
         return hosts.size();
--- a/src/main/java/ledgewall/net/Router.java
+++ b/src/main/java/ledgewall/net/Router.java
@@ -101,6 +101,13 @@
         return counters;
     }
 
+    /** How much is kept of what comes and goes; asked of the loop, which owns it. */
+    String sizes() {
+        CompletableFuture<String> sizes = new CompletableFuture<>();
+        loop.post(() -> sizes.complete("members " + members.size() + ", " + desk.sizes()));
+        return sizes.join();
+    }
+
     private void carryOut(Action action) {
         if (action instanceof RoutingPolicy.Send send) {
             desk.send(send);
@@ -164,6 +171,9 @@
                 LOG.warn("{}: the new configuration changes more than 'discovery': the rest needs a restart", config.name());
             }
             config = same;
+            LOG.info("{}: {}", config.name(), counters);
+            LOG.info("{}: {} descriptors held, {}, members {}", config.name(), wiring.descriptors().held(), desk.view(),
+                members.view());
         });
     }
 
--- a/src/main/java/ledgewall/net/Transport.java
+++ b/src/main/java/ledgewall/net/Transport.java
@@ -120,7 +120,7 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            loop.post(of(session).receive(((IoBuffer) message).buf(), clock.now()));
+            loop.post(of(session).receive(((IoBuffer) message).buf(), clock.now(), session));
         }
 
         @Override
--- a/src/main/java/ledgewall/pg/SqlScanner.java
+++ b/src/main/java/ledgewall/pg/SqlScanner.java
@@ -32,7 +32,9 @@
                 at++;
                 continue;
             }
-            if (b == ';') {
+            if (b == 0) {
+                throw new Statement.Malformed("a zero byte within a query");
+            } else if (b == ';') {
                 ended = true;
             } else if (ended) {
                 throw new Statement.Malformed("a query holds more than one statement");
@@ -52,7 +54,7 @@
     /** Stands on the closing quote afterwards; a doubled quote is part of the value. */
     private void skipQuoted(byte quote, boolean escapes) throws Statement.Malformed {
         at++;
-        while (at < end) {
+        while (at < end && bytes[at] != 0) {
             if (escapes && bytes[at] == '\\') {
                 at++;
             } else if (bytes[at] == quote) {
--- a/src/main/java/ledgewall/pg/Statement.java
+++ b/src/main/java/ledgewall/pg/Statement.java
@@ -12,6 +12,10 @@
 public final class Statement {
     /** As many digits as surely fit a long. */
     private static final int MOST_DIGITS = 15;
+    private static final int LONGEST_NAME = 64;
+    private static final int DELETE = 0x7f;
+    /** Room for many times the fields that there are. */
+    private static final int LONGEST_COMMENT = 2_048;
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
@@ -37,8 +41,11 @@
     private Statement(byte[] frame, Map<String, Field> fields, int sqlStart) throws Malformed {
         this.frame = frame;
         this.fields = fields;
-        required("id");
-        required("c");
+        plain("id", required("id"));
+        plain("c", required("c"));
+        if (fields.containsKey("t")) {
+            plain("t", fields.get("t"));
+        }
         this.waitMillis = number("d", required("d"));
         this.group = number("cluster", required("cluster"));
         this.writtenAtMillis = fields.containsKey("after") ? number("after", fields.get("after")) : 0;
@@ -53,7 +60,7 @@
         }
         int close = at + 2;
         while (!startsWith(frame, close, "*/")) {
-            if (close >= frame.length - 1) {
+            if (close >= frame.length - 1 || close > at + LONGEST_COMMENT) {
                 throw new Malformed("the comment does not end");
             }
             close++;
@@ -111,6 +118,14 @@
         return field;
     }
 
+    /** Ids and names are short and of letters that can be seen: anything else is no usual client's. */
+    private static void plain(String name, Field field) throws Malformed {
+        String value = field.value();
+        if (value.length() > LONGEST_NAME || !value.chars().allMatch(c -> c > ' ' && c < DELETE)) {
+            throw new Malformed("'" + name + "' is no plain name");
+        }
+    }
+
     private static long number(String name, Field field) throws Malformed {
         String value = field.value();
         if (value.isEmpty() || value.length() > MOST_DIGITS
--- a/src/test/java/ledgewall/net/ClientsTest.java
+++ b/src/test/java/ledgewall/net/ClientsTest.java
@@ -195,6 +195,17 @@
         assertEquals("3", value(client.untilReady()));
     }
 
+    @Test
+    void encryptionIsNotDeclinedWithoutEnd() throws IOException {
+        echo();
+        Client client = rig.stranger();
+        client.send(Wire.packet(80877103), Wire.packet(80877104), Wire.packet(80877103));
+        assertEquals('N', client.readByte());
+        assertEquals('N', client.readByte());
+        assertEquals("FATAL", client.read().field('S'));
+        assertTrue(client.atEnd());
+    }
+
     @Test
     void aNewerMinorVersionIsNegotiated() throws IOException {
         echo();
--- a/src/test/java/ledgewall/net/OutcomesTest.java
+++ b/src/test/java/ledgewall/net/OutcomesTest.java
@@ -228,6 +228,20 @@
         assertTrue(ended.await(20, TimeUnit.SECONDS));
     }
 
+    /** The statement is its client's: the client hears that it is wrong, and the module has nothing to decide. */
+    @ParameterizedTest
+    @CsvSource({"08P01", "42601"})
+    void aStatementThatNoMemberCanUseIsItsClientsFault(String code) throws IOException, InterruptedException {
+        ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
+        rig.host("m", StandInServer.host((connection, sql) -> connection.write(Wire.error(code), Wire.ready())));
+        rig.start(policy);
+        Client client = rig.client();
+        client.send(Rig.look("1"));
+        assertEquals("42601", client.untilReady().get(0).field('C'));
+        assertTrue(policy.next(Outcome.class).complete());
+        assertEquals(1, rig.router().counts().of(Ending.BAD_STATEMENT));
+    }
+
     /** Noise is met when it is seen: nobody waits for the end that it announces. */
     @ParameterizedTest
     @CsvSource({"a type that is none", "a value of 3 GB", "a value before its description", "a long tag",
--- a/src/test/java/ledgewall/pg/StatementTest.java
+++ b/src/test/java/ledgewall/pg/StatementTest.java
@@ -66,7 +66,10 @@
         "/* id=1,c=a,d=1,cluster=b */ SELECT 1", "/* id=1,c=a,d=1,d=2,cluster=1 */ SELECT 1",
         "/* id=1,c=a,d=1,cluster=1,after=z */ SELECT 1", "/* id=1,c=a,d=9999999999999999999,cluster=1 */ SELECT 1",
         "/* id=1,c=a,d=1,cluster=1 */ SELECT 1; SELECT 2", "/* id=1,c=a,d=1,cluster=1 */ SELECT 'open",
-        "/* id=1,c=a,d=1,cluster=1 */ SELECT E'\\'; SELECT 2"})
+        "/* id=1,c=a,d=1,cluster=1 */ SELECT E'\\'; SELECT 2", "/* id=1 2,c=a,d=1,cluster=1 */ SELECT 1",
+        "/* id=1\u0001,c=a,d=1,cluster=1 */ SELECT 1", "/* id=1,c=a,t=\u00e9,d=1,cluster=1 */ SELECT 1",
+        "/* id=1,c=a,d=1,cluster=1 */ SELECT \u0000 1", "/* id=1,c=a,d=1,cluster=1 */ SELECT 'a\u0000b'",
+        "/* id=11111111111111111111111111111111111111111111111111111111111111111,c=a,d=1,cluster=1 */ SELECT 1"})
     void whatIsNoRequestIsToldApart(String sql) {
         assertThrows(Statement.Malformed.class, () -> parse(sql));
     }
