--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -39,6 +39,8 @@
     private static final long STANDSTILL = 50 * MS;
     /** An attempt out for this many aims, where others are answered in time, is lost: no place, no load. */
     private static final long LOST = 2;
+    /** No process is gone and back sooner: what answers again by then was only unreachable, and is warm. */
+    private static final long RESTART = SECOND;
     /** A member under suspicion is offered one request in this time. */
     private static final long TRIAL_GAP = 500 * MS;
     /** A member's answers should take this part of their aims: the rest is for the long tail of work. */
@@ -78,13 +80,13 @@
     private static final List<Result> SAID = List.of(Result.OK, Result.MISSED, Result.REJECTED, Result.ERROR);
 
     /** What is known of one member: listing, newest evidence, health, own attempts. */
-    private static final class Member {
+    private final class Member {
         final String id;
         final Group group;
         int zone;
         Kind kind;
         Phase phase;
-        long born, returnedAt = Long.MIN_VALUE / 2;
+        long born, downAt, failedAt = Long.MIN_VALUE, returnedAt = Long.MIN_VALUE / 2;
         Role role = Role.UNKNOWN;
         long roleAt = Long.MIN_VALUE, position = Long.MIN_VALUE / 2, positionAt = Long.MIN_VALUE / 2;
         boolean probing, down, refused;
@@ -100,6 +102,8 @@
         Member(String id, Group group) {
             this.id = id;
             this.group = group;
+            window = FIRST_WINDOW / settings.routers();
+            group.members.add(this);
         }
     }
 
@@ -240,7 +244,8 @@
                 .forEach(m -> m.phase = Phase.GONE);
         }
         for (Listing line : list.listings()) {
-            Member member = members.computeIfAbsent(line.member(), id -> join(line));
+            Member member = members.computeIfAbsent(line.member(),
+                id -> new Member(id, groups.computeIfAbsent(line.group(), number -> new Group())));
             member.zone = line.zone();
             member.kind = kinds.computeIfAbsent(line.kind(), id -> new Kind());
             if (line.born() > member.born) {
@@ -257,13 +262,6 @@
         }
     }
 
-    private Member join(Listing line) {
-        Member member = new Member(line.member(), groups.computeIfAbsent(line.group(), id -> new Group()));
-        member.window = FIRST_WINDOW / settings.routers();
-        member.group.members.add(member);
-        return member;
-    }
-
     /** Newest evidence wins: reports and lists speak of the past, answers of the present. */
     private void learnRole(Member member, Role role, long at) {
         if (role == Role.UNKNOWN || at < member.roleAt) {
@@ -292,11 +290,11 @@
             }
             return;
         }
-        if (member.down) {
+        if (member.refused && now >= member.downAt + RESTART) {
             member.window = COLD_WINDOW / settings.routers();
-            member.returnedAt = member.refused ? now : member.returnedAt;
-            member.down = member.refused = false;
+            member.returnedAt = now;
         }
+        member.down = member.refused = false;
         member.ping += (echo.elapsed() - member.ping) / (member.ping == 0 ? 1 : PINGS);
         if (--member.pingsLeft > 0) {
             probe(member);
@@ -372,9 +370,15 @@
         }
     }
 
+    /**
+     * Guards against broken links: one failure beside answers has a probe ask. Harm: one try at the dead.
+     */
     private void lose(Member member, boolean refused) {
-        member.down = true;
-        member.refused |= refused;
+        boolean once = member.failedAt < member.answeredAt && now < member.answeredAt + RESTART;
+        member.failedAt = now;
+        member.downAt = member.down ? member.downAt : now;
+        member.refused |= refused && !once;
+        member.down |= !once;
         urgent(member);
     }
 
@@ -595,11 +599,7 @@
             }
             case ERROR, TIMED_OUT, RESET, CANCELLED -> {
                 request.mayHaveRun = request.mayHaveRun == null ? attempt : request.mayHaveRun;
-                if (request.kind.effect() == Effect.AT_MOST_ONCE) {
-                    end(request);
-                } else {
-                    pending.add(request);
-                }
+                pending.add(request); // what may not be repeated finds no way through the gate, and ends
             }
             case OK, NEVER_SENT -> end(request);
         }
--- a/src/test/java/ledgewall/BrainTest.java
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -383,6 +383,55 @@
         assertEquals(1, sends(bench.ask(ANY)).size());
     }
 
+    /** Links that break now and then are no dead members: each one was a cold return, and writes waited for seconds. */
+    @Test
+    void oneFailureSinceAnAnswerOfJustNowTakesNoMemberOutAndTheNextOneDoes() {
+        Bench bench = new Bench(settings()).ready();
+        for (int round = 0; round < 10; round++) {
+            assertEquals(List.of("p"), sends(bench.ask(WRITE)));
+            bench.outcome(bench.lastRequest(), 0, "p", Result.OK, Role.PRIMARY);
+            bench.feed(new ProbeResult("p", Result.NOT_CONNECTED, MS, null));
+            bench.now += 50 * MS;
+        }
+        bench.feed(new ProbeResult("p", Result.NOT_CONNECTED, MS, null));
+        assertEquals(List.of(), sends(bench.ask(WRITE)));
+    }
+
+    @Test
+    void whatAnswersAgainWithinASecondWasNotRestartedAndIsWarm() {
+        Bench bench = new Bench(settings());
+        bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
+        bench.echo("a", Role.REPLICA, bench.now);
+        bench.feed(new ProbeResult("a", Result.NOT_CONNECTED, MS, null));
+        bench.now += 300 * MS;
+        bench.echo("a", Role.REPLICA, bench.now);
+        for (int i = 0; i < 30; i++) {
+            assertEquals(1, sends(bench.ask(ANY)).size(), "read " + i);
+            bench.outcome(bench.lastRequest(), 0, "a", Result.OK, Role.REPLICA);
+        }
+    }
+
+    /** Replaced all day: each is forgotten, said to be, and not probed any more. */
+    @Test
+    void membersThatAreGoneAreForgotten() {
+        Bench bench = new Bench(settings()).ready();
+        for (int i = 0; i < 5_000; i++) {
+            bench.feed(new MemberList(ListKind.CHANGES, List.of(line("m" + i))));
+            bench.echo("m" + i, Role.REPLICA, bench.now);
+            bench.echo("m" + i, Role.REPLICA, bench.now);
+            bench.echo("m" + i, Role.REPLICA, bench.now);
+            bench.feed(new MemberList(ListKind.CHANGES, List.of(line("m" + i, Phase.GONE, 0))));
+            bench.now += 20 * MS;
+            bench.feed(new TimerDue(1));
+        }
+        assertEquals(5_000, count(bench.log, Forget.class));
+        bench.echoAll();
+        bench.echoAll();
+        bench.echoAll();
+        bench.now += 6 * SECOND;
+        assertEquals(3, count(bench.feed(new TimerDue(1)), Probe.class));
+    }
+
     @Test
     void oneResetConnectionTakesNoPlace() {
         Bench bench = new Bench(settings()).ready();
--- a/src/test/java/ledgewall/net/PartsTest.java
+++ b/src/test/java/ledgewall/net/PartsTest.java
@@ -41,7 +41,8 @@
     @Test
     void onlyWhatSurelyNeverRanEndsAsThat() {
         List<Result> neverRan = List.of(Result.NOT_CONNECTED, Result.REJECTED, Result.MISSED, Result.NEVER_SENT);
-        List<Ending> mayHaveRun = List.of(Ending.SERVED, Ending.HOST_ERROR, Ending.BROKEN_AFTER_WRITTEN, Ending.GARBLED,
+        List<Ending> mayHaveRun = List.of(Ending.SERVED, Ending.BAD_STATEMENT, Ending.HOST_ERROR,
+            Ending.BROKEN_AFTER_WRITTEN, Ending.GARBLED,
             Ending.TIMED_OUT, Ending.GIVEN_UP);
         for (Ending ending : Ending.values()) {
             assertEquals(!mayHaveRun.contains(ending), neverRan.contains(ending.result()), ending.name());
