Let the longest idle client give way where clients hold over a third of descriptors

Ruled out: the module, the restarts, processor time. At fault: Desk closed idle clients after 2.2 s only, and from two thirds of the traffic's descriptors on.

--- a/src/main/java/ledgewall/net/Descriptors.java
+++ b/src/main/java/ledgewall/net/Descriptors.java
@@ -7,12 +7,16 @@
     /** Part of the limit that is kept back for probes, discovery and connections that are on their way in or out. */
     private static final int KEPT_PART = 12;
     private static final int LEAST_KEPT = 16;
+    /** The part of the descriptors that clients may hold for requests, by the protocol's page. */
+    private static final int CLIENTS_PART = 3;
 
+    private final int limit;
     private final int most;
     private final int kept;
     private int held;
 
     Descriptors(int limit) {
+        this.limit = limit;
         this.kept = Math.max(LEAST_KEPT, limit / KEPT_PART);
         this.most = Math.max(kept + 1, limit - OWN_FILES);
     }
@@ -32,6 +36,11 @@
         return Math.max(1, forTraffic() * 2 / 3);
     }
 
+    /** Connections that clients may hold for requests; those beyond it keep others from asking. */
+    int forRequests() {
+        return Math.max(1, limit / CLIENTS_PART);
+    }
+
     /** Sockets that may be open when another is accepted: those on their way in or out are not counted as held. */
     int forAccepting() {
         return most - kept / 2;
--- a/src/main/java/ledgewall/net/Desk.java
+++ b/src/main/java/ledgewall/net/Desk.java
@@ -22,10 +22,14 @@
 final class Desk implements ClientConnection.Owner, Attempt.Listener {
     /** A day: no client waits longer, and much longer would not fit the clock. */
     private static final long LONGEST_WAIT_MILLIS = 24L * 3_600 * 1_000;
-    /** A connection without an open request may be closed after 2 s; its client may see a little later than we do. */
-    private static final long MAY_CLOSE = Clock.millis(2_200);
-    /** A usual client writes as soon as it is connected: what has not by now may have to make room. */
-    private static final long SOON_SILENT = Clock.millis(300);
+    /**
+     * A busy client asks again soon after an answer: what has not by now may have to make room, the longest idle first,
+     * where clients hold more connections than they may for requests. Others come with a request in hand, and would find
+     * none left.
+     */
+    private static final long UNUSED = Clock.millis(50);
+    /** A usual client writes as soon as it is connected, but may be slow to be read. */
+    private static final long SILENT = Clock.millis(200);
     /** Ids remembered at most: some megabytes. */
     private static final int MOST_IDS = 16_384;
 
@@ -55,6 +59,9 @@
 
     @Override
     public boolean admit(ClientConnection connection) {
+        if (clients.size() >= wiring.descriptors().forRequests()) {
+            closeAClient();
+        }
         boolean full = clients.size() >= wiring.descriptors().forClients();
         if (full ? !closeAClient() : !wiring.descriptors().roomForTraffic() && !makeRoom()) {
             wiring.counters().add(Counters.Count.CLIENTS_TURNED_AWAY);
@@ -96,8 +103,8 @@
 
     private boolean closeAClient() {
         long now = wiring.loop().now();
-        return closeFirst(silent, c -> c.openedAt() <= now - SOON_SILENT, Counters.Count.SILENT_CLIENTS)
-            || closeFirst(idle, c -> c.idleSince() <= now - MAY_CLOSE, Counters.Count.IDLE_CLIENTS_CLOSED);
+        return closeFirst(silent, c -> c.openedAt() <= now - SILENT, Counters.Count.SILENT_CLIENTS)
+            || closeFirst(idle, c -> c.idleSince() <= now - UNUSED, Counters.Count.IDLE_CLIENTS_CLOSED);
     }
 
     private boolean closeFirst(Collection<ClientConnection> from, Predicate<ClientConnection> ripe, Counters.Count count) {
@@ -117,9 +124,8 @@
         for (ClientConnection connection : List.copyOf(clients)) {
             connection.endIfStuck(now);
         }
-        while (clients.size() > wiring.descriptors().forClients() * 2 / 3
-            && closeFirst(idle, c -> c.idleSince() <= now - MAY_CLOSE, Counters.Count.IDLE_CLIENTS_CLOSED)) {
-            continue;
+        while (clients.size() > wiring.descriptors().forRequests() && closeAClient()) {
+            continue; // until they fit, or the others are all in use
         }
         ids.values().removeIf(until -> until <= now);
     }
--- a/src/test/java/ledgewall/net/ClientsTest.java
+++ b/src/test/java/ledgewall/net/ClientsTest.java
@@ -432,7 +432,7 @@
     /** Clients that ask once and keep their connection for good: the longest idle gives way, not the next to come. */
     @Test
     void clientsLongIdleGiveWayToNewOnes() throws IOException {
-        rig.sockets(32 + 16 + 2 + 10);
+        rig.sockets(32 + 16 + 2 + 10); // eight clients at most
         echo();
         for (int i = 0; i < 14; i++) {
             assertEquals("TDC", untilServed("" + i).stream().map(m -> "" + m.type()).reduce("", String::concat));
@@ -440,6 +440,23 @@
         assertTrue(rig.router().counts().of(Counters.Count.IDLE_CLIENTS_CLOSED) > 0);
     }
 
+    /** Clients may hold a third of the descriptors for requests: beyond that the longest idle gives way before any is short. */
+    @Test
+    void idleClientsBeyondAThirdOfTheDescriptorsGiveWayToThoseThatCome() throws IOException {
+        rig.sockets(120);
+        echo();
+        for (int i = 0; i < 46; i++) {
+            Client client = rig.client();
+            client.send(Rig.look("" + i));
+            assertEquals("" + i, value(client.untilReady()));
+        }
+        while (!rig.router().sizes().contains("clients 40,")) {
+            Thread.onSpinWait(); // a sweep a quarter second; the test's time-out ends this
+        }
+        assertEquals(6, rig.router().counts().of(Counters.Count.IDLE_CLIENTS_CLOSED));
+        assertEquals(0, rig.router().counts().of(Counters.Count.CLIENTS_TURNED_AWAY));
+    }
+
     /** Comes again as soon as it is turned away, as usual clients do; stays once it is served. */
     private List<Message> untilServed(String id) throws IOException {
         while (true) {
