Let late attempts stand in no trial's way, so that a silent primary is asked again

Checked by a trace of windows, suspicions and returns: the primary under suspicion for 2.7 s with one to five attempts out, all over two aims old, 36 to 96 writes held. Ruled out: processor, descriptors, windows (11 wide, 5 out), budgets, members down. At fault: Brain.healthy offered a trial only with nothing out; watchSilence counted attempts whose answer is lost although later ones were answered.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
 
@@ -239,7 +238,7 @@
         askAt = list.kind() == ListKind.REMEMBERED ? askAt : Long.MAX_VALUE;
         boolean lenient = settings.rules().drainBindsAlone();
         if (list.kind() != ListKind.CHANGES) {
-            Set<String> listed = Set.copyOf(list.listings().stream().map(Listing::member).toList());
+            List<String> listed = list.listings().stream().map(Listing::member).toList();
             members.values().stream().filter(m -> !listed.contains(m.id) && !lenient)
                 .forEach(m -> m.phase = Phase.GONE);
         }
@@ -358,8 +357,7 @@
             case REJECTED -> narrow(member);
             case TIMED_OUT, CANCELLED -> {
                 // Where others were answered meanwhile, in time, a long wait is a lost answer and no load.
-                if (outcome.elapsed() < LOST * attempt.request().kind.aim()
-                        || member.answeredAt <= attempt.sentAt() || strain(member) >= STRAIN_AIM) {
+                if (!late(attempt) || member.answeredAt <= attempt.sentAt() || strain(member) >= STRAIN_AIM) {
                     sample(member, Math.max(strain, strain(member)));
                     narrow(member);
                 }
@@ -370,9 +368,7 @@
         }
     }
 
-    /**
-     * Guards against broken links: one failure beside answers has a probe ask. Harm: one try at the dead.
-     */
+    /** Guards against broken links: one failure beside answers only asks a probe. Harm: a try at the dead. */
     private void lose(Member member, boolean refused) {
         boolean once = member.failedAt < member.answeredAt && now < member.answeredAt + RESTART;
         member.failedAt = now;
@@ -477,8 +473,7 @@
         double window = member.window * part;
         double usual = strain(member) * request.kind.aim();
         boolean slow = strain(member) >= STRAIN_AIM; // else what is out for long is lost: it holds no place
-        long out = member.open.stream().filter(a -> slow || now < a.sentAt() + LOST * a.request().kind.aim())
-            .count();
+        long out = member.open.stream().filter(a -> slow || !late(a)).count();
         return out == 0 ? window >= 1 || now - member.sentAt >= usual / window : out < window;
     }
 
@@ -487,10 +482,15 @@
     }
 
     private boolean healthy(Member member) {
-        boolean trial = member.open.isEmpty() && now >= member.trialAt + TRIAL_GAP;
+        boolean trial = member.open.stream().allMatch(this::late) && now >= member.trialAt + TRIAL_GAP;
         return usable(member) && (member.suspectSince == NONE || trial);
     }
 
+    /** Out for so long that it stands in no trial's way and, beside later answers, tells of no silence. */
+    private boolean late(Attempt a) {
+        return now >= a.sentAt() + LOST * a.request().kind.aim();
+    }
+
     /** Whether the member's data is new enough, as far as this router can know. */
     private boolean eligible(Request request, Member member) {
         long bound = request.kind.stalenessBound();
@@ -691,7 +691,8 @@
         double missing = 0;
         for (Attempt attempt : member.open) {
             long silent = now - Math.max(attempt.sentAt(), member.answeredAt);
-            missing += silent / (attempt.request().kind.aim() * strain(member));
+            missing += late(attempt) && member.answeredAt > attempt.sentAt() ? 0
+                : silent / (attempt.request().kind.aim() * strain(member));
         }
         if (missing < SILENCE) {
             return;
--- a/src/test/java/ledgewall/BrainTest.java
+++ b/src/test/java/ledgewall/BrainTest.java
@@ -432,6 +432,25 @@
         assertEquals(3, count(bench.feed(new TimerDue(1)), Probe.class));
     }
 
+    /** Answers to some writes were lost; what had been sent before kept the silent primary from any trial for seconds. */
+    @Test
+    void lostAnswersStandInNoTrialsWay() {
+        Bench bench = new Bench(settings()).ready();
+        for (int i = 1; i <= 4; i++) {
+            assertEquals(List.of("p"), sends(bench.ask(WRITE)));
+        }
+        bench.now += 200 * MS;
+        assertEquals(List.of("p"), sends(bench.ask(WRITE)));
+        bench.outcome(5, 0, "p", Result.OK, Role.PRIMARY); // it answers what came later
+        List<Action> actions = new ArrayList<>(bench.pass(600 * MS)); // the first four are out for over two aims
+        for (int i = 0; i < 200; i++) {
+            bench.ask(WRITE);
+            actions.addAll(bench.pass(10 * MS));
+        }
+        long sent = sends(bench.log).stream().filter("p"::equals).count();
+        assertTrue(sent >= 8, "sent " + sent);
+    }
+
     @Test
     void oneResetConnectionTakesNoPlace() {
         Bench bench = new Bench(settings()).ready();
