Take configuration over where SIGHUP is ignored; check beside the watch each second

HangUp tells whether the signal can be heard; where not, FileWatch reads the file each 500 ms and has it taken over. A client whose next request was read is not closed to make room, nor by a drain: one way in which a late turn could lose requests.

--- a/src/main/java/ledgewall/Brain.java
+++ b/src/main/java/ledgewall/Brain.java
@@ -7,8 +7,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 /**
  * All decisions of a router. The interface, its events and its actions stand in RoutingPolicy.java.
@@ -238,7 +240,7 @@
         askAt = list.kind() == ListKind.REMEMBERED ? askAt : Long.MAX_VALUE;
         boolean lenient = settings.rules().drainBindsAlone();
         if (list.kind() != ListKind.CHANGES) {
-            List<String> listed = list.listings().stream().map(Listing::member).toList();
+            Set<String> listed = list.listings().stream().map(Listing::member).collect(Collectors.toSet());
             members.values().stream().filter(m -> !listed.contains(m.id) && !lenient)
                 .forEach(m -> m.phase = Phase.GONE);
         }
--- a/src/main/java/ledgewall/HangUp.java
+++ b/src/main/java/ledgewall/HangUp.java
@@ -10,7 +10,11 @@
     private HangUp() {
     }
 
-    /** Has the action run, on a thread of its own, whenever the process is told to hang up; false if it cannot be heard. */
+    /**
+     * Has the action run, on a thread of its own, whenever the process is told to hang up; false if it cannot be heard. A
+     * process that was started with SIGHUP ignored, as nohup and some supervisors do, never hears of it: the JDK
+     * leaves such a signal ignored and says so only by the handler before.
+     */
     static boolean handle(Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
@@ -23,9 +27,9 @@
                     }
                     return method.invoke(action, arguments); // what every object has: equals, hashCode, toString
                 });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                 .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), hears);
-            return true;
+            return !before.equals(handler.getField("SIG_IGN").get(null));
         } catch (ReflectiveOperationException | RuntimeException e) {
             return false;
         }
--- a/src/main/java/ledgewall/Main.java
+++ b/src/main/java/ledgewall/Main.java
@@ -65,7 +65,11 @@
         Path file = Path.of(config);
         RouterConfig first = RouterConfig.read(file);
         CompletableFuture<Router> started = new CompletableFuture<>();
-        HangUp.handle(() -> reload(started.join(), file));
+        if (!HangUp.handle(() -> reload(started.join(), file))) {
+            LOG.warn("SIGHUP was ignored when this process started: {} is read every {} ms instead, and taken over as it"
+                + " changes", file, FileWatch.EVERY_MILLIS);
+            FileWatch.start(file, () -> reload(started.join(), file));
+        }
         Rehearsal.run(first, Brain::new);
         Router router = Router.start(first, Brain::new);
         started.complete(router);
--- a/src/main/java/ledgewall/discovery/HttpReader.java
+++ b/src/main/java/ledgewall/discovery/HttpReader.java
@@ -46,6 +46,11 @@
         }
     }
 
+    /** Whether the head has come whole. */
+    public boolean headDone() {
+        return state != State.STATUS && state != State.HEADERS;
+    }
+
     /** Whether the answer has come whole. */
     public boolean done() {
         return state == State.DONE;
--- a/src/main/java/ledgewall/discovery/LineCutter.java
+++ b/src/main/java/ledgewall/discovery/LineCutter.java
@@ -28,6 +28,11 @@
         }
     }
 
+    /** Bytes of a line that has begun and not ended. */
+    public int holds() {
+        return line.size();
+    }
+
     /** Passes on what has come since the last line's end. */
     public void finish() {
         out.accept(line.toByteArray());
--- a/src/main/java/ledgewall/net/ClientConnection.java
+++ b/src/main/java/ledgewall/net/ClientConnection.java
@@ -127,7 +127,9 @@
         return () -> {
             readsWaiting.decrementAndGet();
             taken.run();
-            if (!closed) {
+            if (!closed && closing && isUnused()) {
+                closeOnFlush(); // it had come too late to keep, and was no command
+            } else if (!closed) {
                 readOn();
             }
         };
@@ -316,7 +318,7 @@
             }
         }
         if (!closed && slots.isEmpty() && waiting.isEmpty()) {
-            if (closing) {
+            if (closing && readsWaiting.get() == 0) {
                 closeOnFlush();
             } else if (asked) {
                 idleSince = wiring.loop().now();
@@ -337,10 +339,15 @@
         }
     }
 
+    /** Whether nothing of it is in hand, nor read and still on its way to the loop: what was read was taken. */
+    private boolean isUnused() {
+        return slots.isEmpty() && waiting.isEmpty() && readsWaiting.get() == 0;
+    }
+
     /** Ends the connection after what it has in hand; at once if there is nothing. */
     void closeAfterAnswers() {
         closing = true;
-        if (!closed && slots.isEmpty() && waiting.isEmpty()) {
+        if (!closed && isUnused()) {
             closeOnFlush();
         } else {
             takeWaiting();
@@ -349,7 +356,7 @@
 
     /** Ends the connection to make room: at once, unless a request of it is in hand, which is answered first. */
     void closeUnlessAnswering() {
-        if (slots.isEmpty() && waiting.isEmpty()) {
+        if (isUnused()) {
             close();
         } else {
             closeAfterAnswers();
--- a/src/main/java/ledgewall/net/Discovery.java
+++ b/src/main/java/ledgewall/net/Discovery.java
@@ -4,158 +4,135 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import ledgewall.RoutingPolicy;
 import ledgewall.RoutingPolicy.ListKind;
+import ledgewall.discovery.Follower;
 import ledgewall.discovery.HttpException;
 import ledgewall.discovery.HttpReader;
 import ledgewall.discovery.LineCutter;
 import ledgewall.discovery.ListParser;
 import ledgewall.discovery.ListUpdate;
 import ledgewall.settings.FormatException;
+import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.session.IoSession;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Follows the list: a watch from the last revision, begun again when it ends, breaks or falls silent. Silence is
- * never an empty list: what is known stays.
+ * Follows the list: carries out what {@link Follower} decides, and tells it what came. Silence is never an empty list:
+ * what is known stays.
  */
 final class Discovery {
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
-    private static final String PATH = "/catalog/members";
-    /** A watch tells something every 2 s; three such spans without a byte are silence. */
-    private static final long SILENCE = Clock.millis(6_000);
-    /** A revision before any. */
-    private static final long NOTHING = -1;
-    private static final long FIRST_GAP = Clock.millis(100);
-    /** An agent on the router's own machine costs nothing to ask; what it tells counts as known soon after. */
-    private static final long LONGEST_GAP = Clock.millis(1_000);
 
     private final Wiring wiring;
     private final Members members;
+    private final Follower follower;
+    /** Connections of the follower's open calls; each leaves when the follower says so. */
+    private final Map<Follower.Call, Connection> connections = new HashMap<>();
+    private EventLoop.Timer timer;
+    private long timerDue = Long.MAX_VALUE;
     private InetSocketAddress address;
-    private final boolean onlyWhenAsked;
-    private long revision;
-    private long gap = FIRST_GAP;
-    private Call watch;
-    private boolean closed;
 
-    Discovery(Wiring wiring, RouterConfig config, Members members) {
+    Discovery(Wiring wiring, RouterConfig config, Members members, Follower.Pace pace) {
         this.wiring = wiring;
         this.members = members;
         this.address = config.discovery();
-        this.onlyWhenAsked = config.settings().askForList();
-        this.revision = config.known().revision();
+        this.follower = new Follower(address, config.known(), config.settings().askForList(), pace);
     }
 
     /** Begins to follow unasked, where that is discovery's way. */
     void start() {
-        if (!onlyWhenAsked) {
-            subscribe();
-        }
+        carryOut(follower.start(now()));
     }
 
     /** Begins the watch, if there is none. */
     void subscribe() {
-        if (watch == null && !closed) {
-            wiring.counters().add(Counters.Count.WATCHES);
-            watch = new Call(PATH + "?follow=1&since=" + revision, true);
-            watch.start();
-        }
+        carryOut(follower.subscribe(now()));
     }
 
     /** Asks for the whole list once. */
     void fetch() {
-        new Call(PATH, false).start();
+        carryOut(follower.fetch(now()));
     }
 
-    /** Follows discovery at another address, from the revision known; the watch at the one before ends. */
+    /** Follows discovery at another address, from the revision known. */
     void moveTo(InetSocketAddress other) {
-        if (closed || other.equals(address)) {
-            return;
-        }
-        LOG.info("discovery is at {} from now on", other);
-        address = other;
-        gap = FIRST_GAP;
-        Call before = watch;
-        watch = null;
-        if (before != null) {
-            before.close();
-        }
-        if (before != null || !onlyWhenAsked) {
-            subscribe();
+        if (!other.equals(address)) {
+            LOG.info("discovery is at {} from now on", other);
+            address = other;
+            carryOut(follower.move(other, now()));
         }
     }
 
-    void close() {
-        closed = true;
-        if (watch != null) {
-            watch.close();
-        }
+    private long now() {
+        return wiring.loop().now();
     }
 
-    private void learn(ListUpdate update, Call call) {
-        gap = FIRST_GAP;
-        boolean older = update.revision() < revision;
-        if (older && !update.complete() && call.follows) {
-            revision = NOTHING; // discovery has begun anew: only the whole list says what holds
-            fetch();
-            return;
-        }
-        if (update.revision() == revision && !update.complete() || older && !call.follows) {
-            return; // known already
+    private void carryOut(List<Follower.Step> steps) {
+        for (Follower.Step step : steps) {
+            if (step instanceof Follower.Open open) {
+                Connection connection = new Connection(open.call());
+                connections.put(open.call(), connection);
+                connection.open();
+            } else if (step instanceof Follower.Close close) {
+                connections.remove(close.call()).close();
+            } else if (step instanceof Follower.Learn learn) {
+                learn(learn.update(), learn.from());
+            } else if (step instanceof Follower.Failed) {
+                wiring.loop().tell(new RoutingPolicy.MemberList(ListKind.FAILED, List.of()));
+            }
         }
-        revision = update.revision();
+        setTimer();
+    }
+
+    private void learn(ListUpdate update, Follower.Call from) {
         wiring.counters().add(Counters.Count.LISTS);
+        if (from.purpose() == Follower.Purpose.CHECK || from.purpose() == Follower.Purpose.WHOLE) {
+            wiring.counters().add(Counters.Count.LISTS_BY_CHECK);
+            LOG.info("revision {} came by a check before the watch told of it", update.revision());
+        }
+        LOG.debug("list {} from {} for {}", update.revision(), from.target(), from.purpose());
         members.learn(update, update.complete() ? ListKind.FULL : ListKind.CHANGES);
-        LOG.debug("list {} from {}", revision, call.target);
     }
 
-    private void ended(Call call) {
-        if (closed || call.follows && call != watch) {
-            return; // a watch that another has taken the place of
-        }
-        if (call.follows ? onlyWhenAsked : !call.told) { // whoever asked is told that it failed
-            wiring.loop().tell(new RoutingPolicy.MemberList(ListKind.FAILED, List.of()));
+    private void setTimer() {
+        long due = follower.due();
+        if (due == timerDue) {
+            return;
         }
-        watch = call == watch ? null : watch;
-        if (call.follows && !onlyWhenAsked) {
-            wiring.loop().in(gap, this::subscribe);
-            gap = Math.min(LONGEST_GAP, 2 * gap);
+        if (timer != null) {
+            timer.cancel();
         }
+        timerDue = due;
+        timer = due == Long.MAX_VALUE ? null : wiring.loop().at(due, () -> {
+            timerDue = Long.MAX_VALUE;
+            carryOut(follower.tick(now()));
+        });
     }
 
-    /** One request to discovery and the connection that it has to itself. */
-    private final class Call implements Endpoint {
-        private final String target;
-        private final boolean follows;
-        private final InetSocketAddress asked = address;
+    /** The connection that one call has to itself. */
+    private final class Connection implements Endpoint {
+        private final Follower.Call call;
         private final List<byte[]> lines = new ArrayList<>();
         private final LineCutter cutter = new LineCutter(lines::add);
         private final HttpReader http = new HttpReader(cutter);
+        private ConnectFuture connecting;
         private IoSession session;
-        private EventLoop.Timer silence;
-        private boolean told;
         private boolean over;
 
-        private Call(String target, boolean follows) {
-            this.target = target;
-            this.follows = follows;
+        private Connection(Follower.Call call) {
+            this.call = call;
         }
 
-        private void start() {
+        private void open() {
             wiring.descriptors().take();
-            listen();
-            wiring.transport().connect(asked, this, this::close);
-        }
-
-        /** Gives it up unless something comes in time. */
-        private void listen() {
-            if (silence != null) {
-                silence.cancel();
-            }
-            silence = wiring.loop().in(SILENCE, this::close);
+            wiring.counters().add(call.purpose() == Follower.Purpose.WATCH
+                ? Counters.Count.WATCHES : Counters.Count.LIST_CHECKS);
+            connecting = wiring.transport().connect(call.address(), this, this::lost);
         }
 
         @Override
@@ -165,8 +142,8 @@
                 session.closeNow();
                 return;
             }
-            String request = "GET " + target + " HTTP/1.1\r\nHost: " + asked.getHostString() + ":"
-                + asked.getPort() + "\r\nAccept: application/json\r\n\r\n";
+            String request = "GET " + call.target() + " HTTP/1.1\r\nHost: " + call.address().getHostString() + ":"
+                + call.address().getPort() + "\r\nAccept: application/json\r\n\r\n";
             wiring.transport().write(session, request.getBytes(StandardCharsets.US_ASCII));
         }
 
@@ -187,11 +164,12 @@
                 broken = true;
                 LOG.debug("discovery: {}", e.getMessage()); // counted: a bad one may be asked without end
             }
+            boolean whole = !lines.isEmpty();
+            boolean owed = !http.headDone() || cutter.holds() > 0;
             List<ListUpdate> updates = new ArrayList<>();
-            broken |= !parse(updates);
-            boolean last = broken || http.done();
-            boolean bad = broken;
-            return () -> take(updates, last, bad);
+            boolean bad = broken | !parse(updates);
+            boolean last = bad || http.done();
+            return () -> take(updates, whole, owed, bad, last);
         }
 
         /** Parses what lines there are; false if one of them is no list: it and all after it are dropped. */
@@ -213,39 +191,43 @@
             }
         }
 
-        private void take(List<ListUpdate> updates, boolean last, boolean bad) {
+        private void take(List<ListUpdate> updates, boolean whole, boolean owed, boolean bad, boolean last) {
             if (over) {
                 return;
             }
-            listen();
+            carryOut(follower.heard(call, whole, owed, now()));
             for (ListUpdate update : updates) {
-                told = true;
-                learn(update, this);
+                carryOut(follower.told(call, update, now()));
             }
             if (bad) {
                 wiring.counters().add(Counters.Count.BAD_LISTS);
             }
             if (last) {
-                close();
+                lost();
             }
         }
 
         @Override
         public void ended(long at) {
-            close();
+            lost();
         }
 
-        private void close() {
-            if (over) {
-                return;
+        private void lost() {
+            if (!over) {
+                carryOut(follower.ended(call, now()));
             }
-            over = true;
-            silence.cancel();
-            wiring.descriptors().release();
-            if (session != null) {
-                session.closeNow();
+        }
+
+        private void close() {
+            if (!over) {
+                over = true;
+                wiring.descriptors().release();
+                if (session != null) {
+                    session.closeNow();
+                } else {
+                    connecting.cancel(); // or as many would pend as the kernel's patience holds
+                }
             }
-            Discovery.this.ended(this);
         }
     }
 }
--- a/src/main/java/ledgewall/net/Router.java
+++ b/src/main/java/ledgewall/net/Router.java
@@ -7,6 +7,7 @@
 import ledgewall.RoutingPolicy;
 import ledgewall.RoutingPolicy.Action;
 import ledgewall.RoutingPolicy.ListKind;
+import ledgewall.discovery.Follower;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -38,7 +39,7 @@
     private final CountDownLatch closed = new CountDownLatch(1);
     private boolean draining;
 
-    private Router(RouterConfig config, RoutingPolicy.Factory factory) {
+    private Router(RouterConfig config, RoutingPolicy.Factory factory, Follower.Pace pace) {
         this.config = config;
         Descriptors descriptors = new Descriptors(config.sockets());
         this.transport = new Transport(clock, loop, descriptors.forAccepting());
@@ -46,7 +47,7 @@
             config.transport().connectTimeout(), config.transport().connIdle());
         this.members = new Members(wiring, config.vocabulary());
         this.desk = new Desk(wiring, config, members);
-        this.discovery = new Discovery(wiring, config, members);
+        this.discovery = new Discovery(wiring, config, members, pace);
         this.peers = new Peers(wiring, config);
         loop.catchUpBy(transport::catchUp);
         loop.decideBy(factory.create(config.settings(), config.seed()), this::carryOut);
@@ -54,7 +55,11 @@
 
     /** Starts a router and returns once it listens. */
     public static Router start(RouterConfig config, RoutingPolicy.Factory factory) throws IOException {
-        Router router = new Router(config, factory);
+        return start(config, factory, Follower.Pace.USUAL);
+    }
+
+    static Router start(RouterConfig config, RoutingPolicy.Factory factory, Follower.Pace pace) throws IOException {
+        Router router = new Router(config, factory, pace);
         try {
             router.open();
             return router;
--- a/src/test/java/ledgewall/net/FollowTest.java
+++ b/src/test/java/ledgewall/net/FollowTest.java
@@ -210,6 +210,29 @@
         assertEquals(ListKind.CHANGES, policy.next(MemberList.class).kind());
     }
 
+    /** The watch lives and tells nothing; a change that it hides comes with the next check, from the revision known. */
+    @Test
+    void aChangeThatTheWatchHidesComesWithACheck() throws IOException, InterruptedException {
+        rig.checked();
+        start(connection -> watch(connection, list(41, false)),
+            connection -> watch(connection, list(42, false, Rig.entry("m", ADDRESS, "Terminating", 0))),
+            connection -> watch(connection, list(42, false)));
+        assertEquals("/catalog/members?follow=1&since=41", askedNext());
+        assertEquals("/catalog/members?follow=1&since=41", askedNext());
+        assertEquals(Phase.DRAINING, policy.next(MemberList.class).listings().get(0).phase());
+        assertEquals("/catalog/members?follow=1&since=42", askedNext());
+        assertEquals(1, rig.router().counts().of(Counters.Count.LISTS_BY_CHECK));
+    }
+
+    @Test
+    void aReplyThatNeverComesIsGivenUpEachTime() throws IOException, InterruptedException {
+        start(StandInServer.Connection::awaitEnd, StandInServer.Connection::awaitEnd, StandInServer.Connection::awaitEnd,
+            connection -> watch(connection, list(42, false, ready("n"))));
+        assertEquals("n", policy.next(MemberList.class).listings().get(0).member());
+        assertEquals(4, rig.router().counts().of(Counters.Count.WATCHES));
+        assertEquals(0, rig.router().counts().of(Counters.Count.BAD_LISTS));
+    }
+
     @Test
     void whereListsComeOnlyWhenAskedThePolicyAsksAndHearsOfFailures() throws IOException, InterruptedException {
         rig.listsOnlyWhenAsked();
--- a/src/test/java/ledgewall/net/Rig.java
+++ b/src/test/java/ledgewall/net/Rig.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import ledgewall.RoutingPolicy;
+import ledgewall.discovery.Follower;
 import ledgewall.standin.Client;
 import ledgewall.standin.StandInServer;
 import ledgewall.standin.Wire;
@@ -26,6 +27,8 @@
     private String peers = "";
     private String listen = "127.0.0.1:0";
     private boolean parallel = true;
+    /** A script tells calls apart by their order, so only tests of checks have them. */
+    private Follower.Pace pace = Follower.Pace.UNCHECKED;
     private Router router;
 
     Rig host(String id, StandInServer host) {
@@ -73,6 +76,11 @@
         return this;
     }
 
+    Rig checked() {
+        pace = Follower.Pace.USUAL;
+        return this;
+    }
+
     Rig oneAttemptAtATime() {
         parallel = false;
         return this;
@@ -109,7 +117,7 @@
 
     Router start(RoutingPolicy policy) throws IOException {
         RouterConfig config = RouterConfig.parse(config().getBytes(StandardCharsets.UTF_8), "config");
-        router = Router.start(config, (settings, seed) -> policy);
+        router = Router.start(config, (settings, seed) -> policy, pace);
         parts.add(0, router::close);
         return router;
     }
