Serve plain SQL by rules in HCL; the full command line on picocli

Statements whose effect lasts on a connection (BEGIN, SET, PREPARE, ...) get 0A000. A reload takes a file whole or not at all; requests in hand keep what was said.

--- /dev/null
+++ b/cli/src/main/java/ledgewall/cli/Ledgewall.java
@@ -0,0 +1,151 @@
+package ledgewall.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import ledgewall.Brain;
+import ledgewall.Service;
+import ledgewall.net.RouterConfig;
+import ledgewall.settings.FormatException;
+import ledgewall.simhost.SimHost;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** The full command line. */
+@Command(name = "ledgewall", mixinStandardHelpOptions = true, version = "ledgewall 0.1.0",
+    description = "A gateway that spreads reads over replicas and sends writes to the primary.",
+    subcommands = {Ledgewall.Serve.class, Ledgewall.Simhost.class, Ledgewall.Check.class, ExpressionCommand.class,
+        RulesCommand.class, AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class},
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = {"0:done, or all is well", "1:it failed, or something is wrong with what was checked", "2:wrong usage"})
+public final class Ledgewall implements Callable<Integer> {
+    static final int WRONG = 1;
+    private static final Logger LOG = LoggerFactory.getLogger(Ledgewall.class);
+
+    @Spec
+    private CommandSpec spec;
+
+    private Ledgewall() {
+    }
+
+    public static void main(String[] args) {
+        int status = commandLine().execute(args);
+        if (status != 0) {
+            System.exit(status);
+        }
+    }
+
+    /** The command line, for whoever embeds or tests it. What is wrong with settings is told in one line. */
+    static CommandLine commandLine() {
+        CommandLine line = new CommandLine(new Ledgewall());
+        line.setExecutionExceptionHandler((e, command, result) -> {
+            String reason = e instanceof IOException io ? Service.reason(io) : e.getMessage();
+            if (!(e instanceof IOException || e instanceof SettingsException || e instanceof FormatException)) {
+                throw e;
+            }
+            command.getErr().println("ledgewall: " + reason);
+            return WRONG;
+        });
+        return line;
+    }
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(spec.commandLine().getErr());
+        return CommandLine.ExitCode.USAGE;
+    }
+
+    /** Runs one router. */
+    @Command(name = "serve", mixinStandardHelpOptions = true, description = "Run one router until it is told to end.",
+        footer = {"", "Examples:", "  ledgewall serve router.json", "  ledgewall serve --rules deploy/rules.hcl router.json", "",
+            "SIGHUP reads both files anew; SIGTERM drains."})
+    static final class Serve implements Callable<Integer> {
+        @Parameters(arity = "0..1", paramLabel = "CONFIG", defaultValue = "${ROUTER_CONFIG}",
+            description = "The router's configuration in JSON; else the file that ROUTER_CONFIG names.")
+        private Path config;
+
+        @Option(names = "--rules", paramLabel = "FILE",
+            description = "Rules in HCL that say what statements without the comment are.")
+        private Path rules;
+
+        @Override
+        public Integer call() throws IOException, InterruptedException {
+            if (config == null) {
+                throw new FormatException("no CONFIG, and the environment names no ROUTER_CONFIG");
+            }
+            new Service(config, rules == null ? null : (settings, before) -> {
+                try {
+                    RulesFile file = RulesFile.read(rules, RulesCommand.classes(settings));
+                    file.table().warnings().forEach(warning -> LOG.atWarn().addKeyValue("file", rules).log(warning));
+                    LOG.atInfo().addKeyValue("file", rules).addKeyValue("rules", file.table().size()).log("rules are read");
+                    if (before instanceof RuleClassifier old) {
+                        LOG.atInfo().addKeyValue("matches", old.counts()).log("the rules before are over");
+                    }
+                    return new RuleClassifier(file, settings, (RuleClassifier) before);
+                } catch (SettingsException e) {
+                    throw new FormatException(e.getMessage());
+                }
+            }).run();
+            return 0;
+        }
+    }
+
+    /** Decides for a simulator. */
+    @Command(name = "simhost", mixinStandardHelpOptions = true,
+        description = "Decide for a simulator's instances, on standard input and output.")
+    static final class Simhost implements Callable<Integer> {
+        @Override
+        public Integer call() throws IOException {
+            new SimHost(Brain::new).serve(System.in, System.out);
+            return 0;
+        }
+    }
+
+    /** Checks files. */
+    @Command(name = "check", mixinStandardHelpOptions = true,
+        description = "Check settings: a router's configuration (.json) and, against the one before them, rules (.hcl).",
+        footer = {"", "Example:", "  ledgewall check router.json deploy/rules.hcl"})
+    static final class Check implements Callable<Integer> {
+        @Spec
+        private CommandSpec spec;
+
+        @Parameters(arity = "1..*", paramLabel = "FILE")
+        private List<Path> files;
+
+        @Override
+        public Integer call() {
+            PrintWriter out = spec.commandLine().getOut();
+            RouterConfig settings = null;
+            int wrong = 0;
+            for (Path file : files) {
+                try {
+                    if (file.toString().endsWith(".json")) {
+                        settings = RouterConfig.read(file);
+                        out.println(file + ": ok, " + settings.vocabulary().classes().size() + " classes, "
+                            + settings.known().members().size() + " members known");
+                    } else {
+                        RulesFile rules = RulesFile.read(file, RulesCommand.classes(settings));
+                        rules.table().warnings().forEach(warning -> out.println(file + ": warning: " + warning));
+                        out.println(file + ": ok, " + rules.table().size() + " rules");
+                    }
+                } catch (SettingsException | FormatException e) {
+                    out.println(e.getMessage());
+                    wrong = WRONG;
+                } catch (IOException e) {
+                    out.println(Service.reason(e));
+                    wrong = WRONG;
+                }
+            }
+            return wrong;
+        }
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/ledgewall/cli/CliTest.java
@@ -0,0 +1,139 @@
+package ledgewall.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import picocli.CommandLine;
+
+/** The command line, and what files of settings are refused. */
+class CliTest {
+    private static final String CONFIG = "deploy/parking.json";
+    private final StringWriter out = new StringWriter();
+
+    private int run(String... args) {
+        CommandLine line = Ledgewall.commandLine();
+        line.setOut(new PrintWriter(out));
+        line.setErr(new PrintWriter(out));
+        return line.execute(args);
+    }
+
+    private String said() {
+        String text = out.toString();
+        out.getBuffer().setLength(0);
+        return text;
+    }
+
+    @Test
+    void theDeployedExamplesAreWellAndKeepTheirCases() {
+        assertEquals(0, run("check", CONFIG, "deploy/rules.hcl"), out::toString);
+        assertTrue(said().contains("deploy/rules.hcl: ok, 4 rules"));
+        assertEquals(0, run("rules", "test", "--config", CONFIG, "deploy/rules.hcl", "deploy/rules-cases.hcl"), out::toString);
+        assertTrue(said().contains("6 passed, 0 failed"));
+        assertEquals(0, run("rules", "explain", "--config", CONFIG, "deploy/rules.hcl"));
+        assertTrue(said().contains("booking                  book-bay         equality"));
+    }
+
+    @Test
+    void aCaseThatDoesNotHoldIsTold(@TempDir Path folder) throws IOException {
+        Path cases = folder.resolve("cases.hcl");
+        Files.writeString(cases, "case \"x\" {\n sql = \"SELECT 1\"\n expect {\n class = \"book-bay\"\n }\n}\n");
+        assertEquals(1, run("rules", "test", "--config", CONFIG, "deploy/rules.hcl", cases.toString()));
+        assertTrue(said().contains("case \"x\": class is 'bay-status', not 'book-bay'"));
+        Files.writeString(cases, "case \"x\" {\n sql = \"SELECT 1\"\n expect {\n klass = \"book-bay\"\n }\n}\n");
+        assertEquals(1, run("rules", "test", "--config", CONFIG, "deploy/rules.hcl", cases.toString()));
+        assertTrue(said().contains("unknown expectation 'klass'"));
+    }
+
+    @Test
+    void expressionsAreCheckedEvaluatedAndExplained() {
+        assertEquals(0, run("expression", "eval", "now.getHours() + size(sql.tables) + size(headers)", "now=2026-12-01T08:00:00Z",
+            "sql.tables=a,b", "headers=x=1,y=2"));
+        assertEquals("12", said().strip());
+        assertEquals(1, run("expression", "eval", "headers['z'] == ''", "headers="));
+        assertEquals("error: no_such_key", said().strip());
+        assertEquals(1, run("expression", "check", "usr == 'x'"));
+        assertTrue(said().contains("did you mean 'user'?\n  usr == 'x'\n  ^"));
+        assertEquals(0, run("expression", "explain", "user == 'x' && path.startsWith('/v')"));
+        assertTrue(said().contains("index: user in [x]; path begins with '/v'"));
+        assertEquals(1, run("expression", "eval", "true", "now=yesterday"));
+        assertTrue(said().contains("'now' is to be timestamp"));
+        assertEquals(2, run("expression", "chek", "true"));
+        assertEquals(2, run());
+        said();
+        assertEquals(0, run("help", "serve"));
+        assertTrue(said().contains("--rules"));
+        assertEquals(1, run("serve", "nowhere.json"));
+        assertTrue(said().contains("ledgewall: no such file: nowhere.json"));
+    }
+
+    private static String refused(String text) {
+        return assertThrows(SettingsException.class, () -> RulesFile.parse("rules.hcl", text, Set.of("book-bay", "bay-status")))
+            .getMessage();
+    }
+
+    private static String rule(String settings) {
+        return "rule \"a\" {\n match = \"true\"\n class = \"book-bay\"\n " + settings + "\n}\n";
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiterString = " ~ ", quoteCharacter = '`', value = {
+        "tennant = \"'x'\" ~ rules.hcl, rule \"a\": unknown setting 'tennant'",
+        "wait = 5 ~ rules.hcl, rule \"a\": 'wait' is to be a string",
+        "limit { } ~ neither a rate nor a number at once", "limit { rate = -1 } ~ a rate is from 0",
+        "limit { rate = \"x\" } ~ 'rate' is to be a number",
+        "limit { rte = 1 } ~ unknown setting 'rte'",
+        "tenant = \"usr\" ~ rule \"a\", tenant:1:1: unknown name 'usr'; did you mean 'user'?",
+        "group = \"'x'\" ~ is to be int, this is string", "limit { concurrent = 1.5 } ~ to be a whole number"})
+    void aSettingThatIsWrongIsToldWithItsPlace(String setting, String message) {
+        String refusal = refused(rule(setting.replace("{ ", "{\n").replace(" }", "\n}")));
+        assertTrue(refusal.contains(message), refusal);
+    }
+
+    @Test
+    void aFileThatIsWrongAsAWholeIsRefused() {
+        assertTrue(refused("").contains("no rule"));
+        assertTrue(refused("commments = \"win\"\n" + rule("")).contains("unknown setting 'commments'"));
+        assertTrue(refused("comments = \"maybe\"\n" + rule("")).contains("\"win\" or \"lose\""));
+        assertTrue(refused(rule("") + rule("")).contains("two blocks are rule \"a\""));
+        assertTrue(refused("rule {\n match = \"true\"\n}\n").contains("need a name"));
+        assertTrue(refused("rule \"a\" {\n match = \"true\"\n}\n").contains("lacks 'class'"));
+        assertTrue(refused("expressions {\n a = \"b\"\n b = \"true\"\n}\n" + rule(""))
+            .contains("expression \"a\":1:1: unknown name 'b'"));
+        assertTrue(refused("limits {\n steps = 0\n}\n" + rule("")).contains("can take 1 steps"));
+    }
+
+    /** Whatever is left of a file, or put into it, it is taken or refused; the parser's own failures reach nobody. */
+    @Test
+    void damagedFilesAreTakenOrRefused() throws IOException {
+        String whole = Files.readString(Path.of("deploy/rules.hcl"));
+        SplittableRandom random = new SplittableRandom(9);
+        int refused = 0;
+        for (int i = 0; i < 2_000; i++) {
+            StringBuilder text = new StringBuilder(whole);
+            int at = random.nextInt(text.length());
+            if (random.nextBoolean()) {
+                text.setLength(at);
+            } else {
+                text.setCharAt(at, "{}\"=[](\\$\n#x<".charAt(random.nextInt(13)));
+            }
+            try {
+                RulesFile.parse("rules.hcl", text.toString(), Set.of("book-bay", "bay-status", "trip-history"));
+            } catch (SettingsException e) {
+                refused++;
+            }
+        }
+        assertTrue(refused > 500, refused + " refused");
+    }
+}
--- a/expression/src/main/java/ledgewall/expression/Requirement.java
+++ b/expression/src/main/java/ledgewall/expression/Requirement.java
@@ -80,8 +80,18 @@
         if (part instanceof Node.Logic logic && !logic.all()) {
             return either(logic.parts());
         }
+        if (part instanceof Node.Shared shared) {
+            return plain(shared.body());
+        }
+        if (part instanceof Node.Attribute flag) { // a bool, as all that is required
+            return new Requirement(new Subject(flag.index(), null), Set.of(true), null, 0, 0);
+        }
+        if (part instanceof Node.Call not && not.function().name().equals("!")
+                && not.arguments().get(0) instanceof Node.Attribute flag) {
+            return new Requirement(new Subject(flag.index(), null), Set.of(false), null, 0, 0);
+        }
         if (!(part instanceof Node.Call call) || call.arguments().size() != 2) {
-            return part instanceof Node.Shared shared ? plain(shared.body()) : null;
+            return null;
         }
         Node first = call.arguments().get(0);
         Node second = call.arguments().get(1);
--- a/expression/src/main/java/ledgewall/expression/Schema.java
+++ b/expression/src/main/java/ledgewall/expression/Schema.java
@@ -54,6 +54,7 @@
             .with("sql.text", Type.STRING, Size.chars(200_000), "a statement's text, its comment included")
             .with("sql.keyword", Type.STRING, Size.chars(32), "its first word, in capitals")
             .with("sql.tables", Type.listOf(Type.STRING), Size.list(16, word), "the tables that it names, in lower case")
+            .with("sql.writes", Type.BOOL, Size.ONE, "whether a word that changes data or locks rows stands outside its quotes")
             .with("comment", Type.mapOf(Type.STRING), Size.map(16, 32, Size.chars(256)), "the fields of its comment")
             .with("database", Type.STRING, word, "the database that its client named")
             .with("user", Type.STRING, word, "the user that its client named")
--- a/expression/src/test/java/ledgewall/rules/RuleTableTest.java
+++ b/expression/src/test/java/ledgewall/rules/RuleTableTest.java
@@ -132,6 +132,9 @@
             for (int i = 0; i < 100; i++) {
                 Frame frame = frame("user", "u" + random.nextInt(30), "path", "/a/b/c/d".substring(0, random.nextInt(9)),
                     "now", (long) random.nextInt(40), "headers", Map.of("x", "h" + random.nextInt(6)));
+                if (random.nextBoolean()) {
+                    frame.set(schema.attribute("sql.writes"), random.nextBoolean());
+                }
                 if (random.nextInt(3) > 0) {
                     frame.set(schema.attribute("database"), "d" + random.nextInt(4));
                 }
@@ -156,7 +159,7 @@
             case 6 -> "(database == 'd1' || 'd" + number % 4 + "' == database)";
             case 7 -> "!(user == 'u" + number % 30 + "')";
             case 8 -> "headers['y'] == 'h'";
-            case 9 -> "size(path) > " + number % 9;
+            case 9 -> number % 2 == 0 ? "sql.writes" : "!sql.writes && size(path) > " + number % 9;
             case 10 -> "timestamp('1970-01-01T00:00:00.00000002Z') > now";
             default -> "headers[?'x'].orValue('h1') == 'h1'";
         };
--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -1,10 +1,12 @@
 package ledgewall.net;
 
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import ledgewall.pg.ClientMessage;
 import ledgewall.pg.Frame;
@@ -34,12 +36,18 @@
     /** Commands that are none, after which a client is no usual one. */
     private static final int MOST_FAULTS = 8;
 
+    /** Who sends a request. */
+    record Client(String user, String database, String address) { }
+
     /** What takes requests in. */
     interface Owner {
         /** Whether the connection may stay. */
         boolean admit(ClientConnection connection);
 
-        ClientRequest take(Statement statement, Slot slot, long at);
+        ClientRequest take(Statement statement, Slot slot, long at, Client client);
+
+        /** Whether statements are taken that bring no comment; the same for as long as the router runs. */
+        boolean takesPlain();
 
         /** The client of this request has gone. */
         void lapsed(ClientRequest request);
@@ -60,6 +68,7 @@
     private final Deque<Waiting> waiting = new ArrayDeque<>();
     private final AtomicInteger readsWaiting = new AtomicInteger();
     private IoSession session;
+    private Client client = new Client("", "", "");
     private boolean admitted;
     private boolean closed;
     private boolean skipping;
@@ -143,7 +152,7 @@
                 frames.feed(bytes, received::add);
             } finally {
                 for (Frame frame : received) {
-                    messages.add(ClientMessage.of(frame));
+                    messages.add(ClientMessage.of(frame, owner.takesPlain()));
                 }
             }
         } catch (ProtocolException e) {
@@ -243,6 +252,13 @@
     }
 
     private void start(ClientMessage.Startup startup) {
+        if (owner.takesPlain()) {
+            Map<String, String> told = startup.parameters();
+            String user = told.getOrDefault("user", "");
+            String address = session.getRemoteAddress() instanceof InetSocketAddress from
+                ? from.getAddress().getHostAddress() : "";
+            client = new Client(user, told.getOrDefault("database", user), address);
+        }
         push(startup.minor() == 0 ? MessageWriter.welcome()
             : MessageWriter.join(MessageWriter.negotiateVersion(), MessageWriter.welcome()));
     }
@@ -252,7 +268,7 @@
         slots.add(slot);
         slot.size = statement.size();
         taken += slot.size;
-        slot.request = owner.take(statement, slot, at);
+        slot.request = owner.take(statement, slot, at, client);
     }
 
     /** An ordinary error to one command. */
--- a/router/src/main/java/ledgewall/net/ClientRequest.java
+++ b/router/src/main/java/ledgewall/net/ClientRequest.java
@@ -12,6 +12,7 @@
     private final ClientConnection.Slot slot;
     private final List<Attempt> attempts = new ArrayList<>();
     private EventLoop.Timer overdue;
+    private Runnable whenOver;
     private boolean over;
 
     ClientRequest(long number, Statement statement, long deadline, ClientConnection.Slot slot) {
@@ -42,6 +43,11 @@
         overdue = timer;
     }
 
+    /** Has something done once it is over. */
+    void whenOver(Runnable task) {
+        whenOver = task;
+    }
+
     boolean isOver() {
         return over;
     }
@@ -63,6 +69,10 @@
     /** Ends it without an answer. */
     void end() {
         over = true;
+        if (whenOver != null) {
+            whenOver.run();
+            whenOver = null;
+        }
         if (overdue != null) {
             overdue.cancel();
         }
--- a/router/src/main/java/ledgewall/net/Desk.java
+++ b/router/src/main/java/ledgewall/net/Desk.java
@@ -48,8 +48,12 @@
     private final Map<String, Long> ids = new LinkedHashMap<>();
     private long lastNumber;
     private boolean draining;
+    private Classifier classifier;
+    private final boolean takesPlain;
 
-    Desk(Wiring wiring, RouterConfig config, Members members) {
+    Desk(Wiring wiring, RouterConfig config, Members members, Classifier classifier) {
+        this.classifier = classifier;
+        this.takesPlain = classifier != null;
         this.wiring = wiring;
         this.settings = config.settings();
         this.members = members;
@@ -130,11 +134,44 @@
         ids.values().removeIf(until -> until <= now);
     }
 
+    /** Has another classifier say what requests are from now on; those in hand keep what was said. */
+    void classifyBy(Classifier other) {
+        classifier = other;
+    }
+
+    @Override
+    public boolean takesPlain() {
+        return takesPlain;
+    }
+
     @Override
-    public ClientRequest take(Statement statement, ClientConnection.Slot slot, long at) {
+    public ClientRequest take(Statement statement, ClientConnection.Slot slot, long at, ClientConnection.Client client) {
+        if (classifier == null || statement.isCommented() && !classifier.overridesComments()) {
+            return take(statement, slot, at, (Runnable) null);
+        }
+        Classifier.Answer answer = classifier.classify(new Classifier.Request(statement.text(), statement.summary(),
+            statement.comment(), client.user(), client.database(), client.address(), wiring.clock().now()));
+        if (answer instanceof Classifier.Known known) {
+            return take(statement.as(known.as(), "r" + (lastNumber + 1)), slot, at, known.over());
+        }
+        wiring.counters().add(Counters.Count.REQUESTS);
+        ClientRequest request = new ClientRequest(++lastNumber, statement, at, slot);
+        if (answer instanceof Classifier.Limited limited) {
+            wiring.counters().add(Counters.Count.LIMITED);
+            wiring.counters().add(Counters.Count.REFUSED);
+            request.answer(refusal(limited.retryAfter()));
+        } else {
+            wiring.counters().add(Counters.Count.BAD_QUERIES);
+            request.answer(withReady(MessageWriter.error(SqlState.SYNTAX_ERROR, ((Classifier.Unknown) answer).reason())));
+        }
+        return request;
+    }
+
+    private ClientRequest take(Statement statement, ClientConnection.Slot slot, long at, Runnable over) {
         wiring.counters().add(Counters.Count.REQUESTS);
         long deadline = at + Clock.millis(Math.min(statement.waitMillis(), LONGEST_WAIT_MILLIS));
         ClientRequest request = new ClientRequest(++lastNumber, statement, deadline, slot);
+        request.whenOver(over);
         int index = vocabulary.classes().indexOf(statement.className());
         String wrong = index < 0 ? "unknown class" : statement.waitMillis() == 0 ? "no time to answer in"
             : !members.knowsGroup(statement.group()) ? "unknown cluster"
@@ -229,9 +266,12 @@
     }
 
     void refuse(RoutingPolicy.Refuse refuse) {
-        String detail = refuse.retryAfter() > 0 ? Long.toString(Clock.toMillis(refuse.retryAfter())) : null;
-        byte[] error = MessageWriter.error(SqlState.TOO_MANY_CONNECTIONS, "refused: trying again is harmless", detail);
-        answer(refuse.request(), withReady(error), Counters.Count.REFUSED);
+        answer(refuse.request(), refusal(refuse.retryAfter()), Counters.Count.REFUSED);
+    }
+
+    private static byte[] refusal(long retryAfter) {
+        String detail = retryAfter > 0 ? Long.toString(Clock.toMillis(retryAfter)) : null;
+        return withReady(MessageWriter.error(SqlState.TOO_MANY_CONNECTIONS, "refused: trying again is harmless", detail));
     }
 
     void fail(RoutingPolicy.Fail fail) {
--- a/router/src/main/java/ledgewall/net/Router.java
+++ b/router/src/main/java/ledgewall/net/Router.java
@@ -39,14 +39,14 @@
     private final CountDownLatch closed = new CountDownLatch(1);
     private boolean draining;
 
-    private Router(RouterConfig config, RoutingPolicy.Factory factory, Follower.Pace pace) {
+    private Router(RouterConfig config, RoutingPolicy.Factory factory, Follower.Pace pace, Classifier classifier) {
         this.config = config;
         Descriptors descriptors = new Descriptors(config.sockets());
         this.transport = new Transport(clock, loop, descriptors.forAccepting());
         this.wiring = new Wiring(clock, loop, transport, descriptors, counters, new Held(),
             config.transport().connectTimeout(), config.transport().connIdle());
         this.members = new Members(wiring, config.vocabulary());
-        this.desk = new Desk(wiring, config, members);
+        this.desk = new Desk(wiring, config, members, classifier);
         this.discovery = new Discovery(wiring, config, members, pace);
         this.peers = new Peers(wiring, config);
         loop.catchUpBy(transport::catchUp);
@@ -55,11 +55,17 @@
 
     /** Starts a router and returns once it listens. */
     public static Router start(RouterConfig config, RoutingPolicy.Factory factory) throws IOException {
-        return start(config, factory, Follower.Pace.USUAL);
+        return start(config, factory, Follower.Pace.USUAL, null);
     }
 
-    static Router start(RouterConfig config, RoutingPolicy.Factory factory, Follower.Pace pace) throws IOException {
-        Router router = new Router(config, factory, pace);
+    /** Starts a router that also takes statements without the comment, as what the classifier says that they are. */
+    public static Router start(RouterConfig config, RoutingPolicy.Factory factory, Classifier classifier) throws IOException {
+        return start(config, factory, Follower.Pace.USUAL, classifier);
+    }
+
+    static Router start(RouterConfig config, RoutingPolicy.Factory factory, Follower.Pace pace, Classifier classifier)
+            throws IOException {
+        Router router = new Router(config, factory, pace, classifier);
         try {
             router.open();
             return router;
@@ -182,6 +188,11 @@
         });
     }
 
+    /** Has another classifier say what requests are from now on; those in hand keep what was said. Returns at once. */
+    public void classifyBy(Classifier classifier) {
+        loop.post(() -> desk.classifyBy(classifier));
+    }
+
     /**
      * Begins a planned stop: clients are served on the connections they have for a while, since their other routers may
      * be restarting too; then what was taken is answered, and the router closes. Returns at once.
--- a/router/src/main/java/ledgewall/pg/ClientMessage.java
+++ b/router/src/main/java/ledgewall/pg/ClientMessage.java
@@ -1,6 +1,9 @@
 package ledgewall.pg;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
 
 /** What a client may say, as far as this router tells it apart. */
 public sealed interface ClientMessage {
@@ -8,6 +11,7 @@
     int GSS_REQUEST = 80877104;
     int CANCEL_REQUEST = 80877102;
     int VERSION_3 = 3;
+    int MOST_PARAMETERS = 32;
 
     /** Asks for encryption before anything else. */
     record EncryptionRequest() implements ClientMessage { }
@@ -15,7 +19,8 @@
     /** Asks, on a connection of its own, to cancel what another one runs. */
     record CancelRequest() implements ClientMessage { }
 
-    record Startup(int minor) implements ClientMessage { }
+    /** With the parameters that it names, such as user and database. */
+    record Startup(int minor, Map<String, String> parameters) implements ClientMessage { }
 
     record EmptyQuery() implements ClientMessage { }
 
@@ -38,9 +43,18 @@
     record Broken(String reason) implements ClientMessage { }
 
     static ClientMessage of(Frame frame) throws ProtocolException {
+        return of(frame, false);
+    }
+
+    /**
+     * Reads a message.
+     *
+     * @param plain whether statements are taken that do not bring the comment
+     */
+    static ClientMessage of(Frame frame, boolean plain) throws ProtocolException {
         return switch (frame.type()) {
             case Frame.UNTYPED -> opening(frame);
-            case 'Q' -> query(frame);
+            case 'Q' -> query(frame, plain);
             case 'X' -> new Terminate();
             case 'S' -> new Sync();
             case 'P', 'B', 'D', 'E', 'C' -> new Extended();
@@ -62,12 +76,35 @@
                 if (code >>> 16 != VERSION_3) {
                     throw new ProtocolException("unsupported protocol " + (code >>> 16) + "." + (code & 0xffff));
                 }
-                yield new Startup(code & 0xffff);
+                yield new Startup(code & 0xffff, parameters(frame));
             }
         };
     }
 
-    private static ClientMessage query(Frame frame) throws ProtocolException {
+    /** Names and values up to an empty name; what is cut off before is none. */
+    private static Map<String, String> parameters(Frame frame) {
+        Map<String, String> parameters = new HashMap<>();
+        byte[] bytes = frame.bytes();
+        String name = null;
+        int start = frame.bodyStart() + Integer.BYTES;
+        for (int at = start; at < bytes.length && parameters.size() < MOST_PARAMETERS; at++) {
+            if (bytes[at] != 0) {
+                continue;
+            }
+            String text = new String(bytes, start, at - start, StandardCharsets.UTF_8);
+            if (name == null && text.isEmpty()) {
+                break;
+            }
+            if (name != null) {
+                parameters.put(name, text);
+            }
+            name = name == null ? text : null;
+            start = at + 1;
+        }
+        return parameters;
+    }
+
+    private static ClientMessage query(Frame frame, boolean plain) throws ProtocolException {
         byte[] bytes = frame.bytes();
         if (frame.bodyLength() < 1 || bytes[bytes.length - 1] != 0) {
             throw new ProtocolException("a query without its end");
@@ -76,7 +113,9 @@
             return new EmptyQuery();
         }
         try {
-            return new Query(Statement.parse(bytes));
+            Statement statement = plain ? Statement.parseAny(bytes) : Statement.parse(bytes);
+            return plain && statement.summary().needsSession() ? new Unserved(SqlState.NOT_SUPPORTED,
+                statement.summary().keyword() + " needs a connection of its own to a member") : new Query(statement);
         } catch (Statement.Malformed e) {
             return new Unserved(SqlState.SYNTAX_ERROR, e.getMessage());
         }
--- a/router/src/main/java/ledgewall/pg/Statement.java
+++ b/router/src/main/java/ledgewall/pg/Statement.java
@@ -21,10 +21,16 @@
 
     private final byte[] frame;
     private final Map<String, Field> fields;
+    private final String id;
+    private final String className;
+    private final String tenant;
+    private final boolean retry;
     private final long waitMillis;
     private final long group;
     private final long writtenAtMillis;
     private final long sessionKey;
+    /** Of a statement that is to be classified; else null. */
+    private final SqlSummary summary;
 
     /** Where a field's value stands in the message. */
     private record Field(String value, int start, int end) { }
@@ -41,17 +47,85 @@
     private Statement(byte[] frame, Map<String, Field> fields, int sqlStart) throws Malformed {
         this.frame = frame;
         this.fields = fields;
-        plain("id", required("id"));
-        plain("c", required("c"));
-        if (fields.containsKey("t")) {
-            plain("t", fields.get("t"));
-        }
+        this.id = plain("id", required("id"));
+        this.className = plain("c", required("c"));
+        this.tenant = fields.containsKey("t") ? plain("t", fields.get("t")) : "";
+        this.retry = fields.containsKey("r") && fields.get("r").value().equals("1");
+        this.summary = null;
         this.waitMillis = number("d", required("d"));
         this.group = number("cluster", required("cluster"));
         this.writtenAtMillis = fields.containsKey("after") ? number("after", fields.get("after")) : 0;
         this.sessionKey = SqlScanner.scan(frame, sqlStart, frame.length - 1, Statement::hash);
     }
 
+    private Statement(Statement other, SqlSummary summary, String id, Classified as) {
+        this.frame = other.frame;
+        this.fields = other.fields;
+        this.summary = summary;
+        this.id = id;
+        this.className = as.className();
+        this.tenant = as.tenant();
+        this.waitMillis = as.waitMillis();
+        this.group = as.group();
+        this.writtenAtMillis = other.writtenAtMillis;
+        this.sessionKey = as.session() == null ? other.sessionKey : hash(as.session());
+        this.retry = as.retry();
+    }
+
+    /** One whose fields nobody has told yet. */
+    private Statement(byte[] frame, Map<String, Field> fields, SqlSummary summary) {
+        this.frame = frame;
+        this.fields = fields;
+        this.summary = summary;
+        this.id = "";
+        this.className = "";
+        this.tenant = "";
+        this.retry = false;
+        this.waitMillis = 0;
+        this.group = 0;
+        this.writtenAtMillis = 0;
+        this.sessionKey = summary.key() == null ? 0 : hash(summary.key());
+    }
+
+    /** Reads a whole Query message that need not bring the comment: where it brings none that will do, it is to be classified. */
+    static Statement parseAny(byte[] frame) throws Malformed {
+        SqlSummary summary = SqlSummary.of(frame, Frame.LENGTH_BYTES + 1, frame.length - 1);
+        try {
+            Statement whole = parse(frame);
+            return new Statement(whole, summary, whole.id, new Classified(whole.className, whole.tenant, whole.group, null,
+                whole.waitMillis, whole.retry));
+        } catch (Malformed e) {
+            return new Statement(frame, Map.of(), summary);
+        }
+    }
+
+    /** Whether it brought the comment with all that a router needs. */
+    public boolean isCommented() {
+        return !id.isEmpty();
+    }
+
+    /** What it says about itself, where plain statements are taken. */
+    public SqlSummary summary() {
+        return summary;
+    }
+
+    /** The fields of its comment. */
+    public Map<String, String> comment() {
+        Map<String, String> values = new HashMap<>();
+        fields.forEach((name, field) -> values.put(name, field.value()));
+        return values;
+    }
+
+    /** Its text, as UTF-8 if it can be. */
+    public String text() {
+        return new String(frame, Frame.LENGTH_BYTES + 1, frame.length - Frame.LENGTH_BYTES - 2, StandardCharsets.UTF_8);
+    }
+
+    /** This statement with what a classifier says of it, under an id of its own or of the router's. */
+    public Statement as(Classified classified, String routersId) {
+        return new Statement(this, summary, id.isEmpty() ? routersId : id, classified);
+    }
+
     /** Reads a whole Query message. */
     static Statement parse(byte[] frame) throws Malformed {
         int at = skipSpace(frame, Frame.LENGTH_BYTES + 1, frame.length - 1);
@@ -119,11 +193,12 @@
     }
 
     /** Ids and names are short and of letters that can be seen: anything else is no usual client's. */
-    private static void plain(String name, Field field) throws Malformed {
+    private static String plain(String name, Field field) throws Malformed {
         String value = field.value();
         if (value.length() > LONGEST_NAME || !value.chars().allMatch(c -> c > ' ' && c < DELETE)) {
             throw new Malformed("'" + name + "' is no plain name");
         }
+        return value;
     }
 
     private static long number(String name, Field field) throws Malformed {
@@ -136,16 +211,16 @@
     }
 
     public String id() {
-        return fields.get("id").value();
+        return id;
     }
 
     public String className() {
-        return fields.get("c").value();
+        return className;
     }
 
     /** The tenant's name, empty where the comment names none. */
     public String tenant() {
-        return fields.containsKey("t") ? fields.get("t").value() : "";
+        return tenant;
     }
 
     public long waitMillis() {
@@ -162,7 +237,7 @@
     }
 
     public boolean retry() {
-        return fields.containsKey("r") && fields.get("r").value().equals("1");
+        return retry;
     }
 
     /** A number that stands for the first quoted value, the key. */
@@ -175,9 +250,12 @@
         return frame.length;
     }
 
-    /** The whole message with another wait; all its other bytes are the client's. */
+    /** The whole message with another wait, if it tells one; all its other bytes are the client's. */
     public byte[] withWait(long millis) {
         Field wait = fields.get("d");
+        if (wait == null) {
+            return frame;
+        }
         byte[] digits = Long.toString(millis).getBytes(StandardCharsets.US_ASCII);
         int size = frame.length - (wait.end() - wait.start()) + digits.length;
         ByteBuffer out = ByteBuffer.allocate(size);
@@ -195,6 +273,11 @@
         return hash >>> 1; // never negative: negative numbers have meanings of their own
     }
 
+    private static long hash(String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        return hash(bytes, 0, bytes.length);
+    }
+
     private static boolean startsWith(byte[] bytes, int at, String text) {
         for (int i = 0; i < text.length(); i++) {
             if (at + i >= bytes.length || bytes[at + i] != text.charAt(i)) {
--- a/router/src/test/java/ledgewall/net/GivingWayTest.java
+++ b/router/src/test/java/ledgewall/net/GivingWayTest.java
@@ -35,11 +35,16 @@
         }
 
         @Override
-        public ClientRequest take(Statement statement, ClientConnection.Slot slot, long at) {
+        public ClientRequest take(Statement statement, ClientConnection.Slot slot, long at, ClientConnection.Client from) {
             taken.add(slot);
             return new ClientRequest(1, statement, at, slot);
         }
 
+        @Override
+        public boolean takesPlain() {
+            return false;
+        }
+
         @Override
         public void lapsed(ClientRequest request) {
             throw new AssertionError("its client is still there");
--- a/router/src/test/java/ledgewall/net/Rig.java
+++ b/router/src/test/java/ledgewall/net/Rig.java
@@ -29,6 +29,7 @@
     private boolean parallel = true;
     /** A script tells calls apart by their order, so only tests of checks have them. */
     private Follower.Pace pace = Follower.Pace.UNCHECKED;
+    private Classifier classifier;
     private Router router;
 
     Rig host(String id, StandInServer host) {
@@ -76,6 +77,11 @@
         return this;
     }
 
+    Rig classifier(Classifier says) {
+        classifier = says;
+        return this;
+    }
+
     Rig checked() {
         pace = Follower.Pace.USUAL;
         return this;
@@ -117,7 +123,7 @@
 
     Router start(RoutingPolicy policy) throws IOException {
         RouterConfig config = RouterConfig.parse(config().getBytes(StandardCharsets.UTF_8), "config");
-        router = Router.start(config, (settings, seed) -> policy, pace);
+        router = Router.start(config, (settings, seed) -> policy, pace, classifier);
         parts.add(0, router::close);
         return router;
     }
