--- /dev/null
+++ b/bench/src/main/java/ledgewall/bench/RuleTableBenchmark.java
@@ -0,0 +1,74 @@
+package ledgewall.bench;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import ledgewall.expression.Frame;
+import ledgewall.expression.Limits;
+import ledgewall.expression.Schema;
+import ledgewall.rules.Decision;
+import ledgewall.rules.Rule;
+import ledgewall.rules.RuleException;
+import ledgewall.rules.RuleTable;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** A table of indexable rules: what a request costs as the table grows. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(3)
+public class RuleTableBenchmark {
+    private static final int REQUESTS = 256;
+
+    @Param({"10", "100", "1000", "10000"})
+    private int rules;
+
+    private RuleTable table;
+    private final Frame[] frames = new Frame[REQUESTS];
+    private final Decision decision = new Decision();
+    private int next;
+
+    @Setup
+    public void setUp() throws RuleException {
+        Schema schema = Schema.ofRequests();
+        List<Rule> all = new ArrayList<>();
+        for (int i = 0; i < rules; i++) {
+            String match = switch (i % 3) {
+                case 0 -> "user == 'u" + i + "' && sql.keyword == 'SELECT'";
+                case 1 -> "user in ['u" + i + "', 'v" + i + "'] && size(sql.tables) > 0";
+                default -> "path.startsWith('/v1/lots/" + i + "/') && user.startsWith('u')";
+            };
+            all.add(new Rule("r" + i, match, "c", Map.of(), null, null));
+        }
+        table = RuleTable.of(schema, Limits.USUAL, Map.of(), all, Set.of("c"));
+        for (int i = 0; i < REQUESTS; i++) {
+            int number = (int) (i * 2_654_435_761L % rules);
+            Frame frame = new Frame(schema);
+            frame.set(schema.attribute("user"), "u" + number);
+            frame.set(schema.attribute("path"), "/v1/lots/" + number + "/bays");
+            frame.set(schema.attribute("sql.keyword"), "SELECT");
+            frame.set(schema.attribute("sql.tables"), List.of("bays"));
+            frames[i] = frame;
+        }
+    }
+
+    @Benchmark
+    public boolean decide() {
+        table.decide(frames[next++ % REQUESTS], decision);
+        return decision.matched();
+    }
+}
--- a/expression/src/main/java/ledgewall/expression/Compiler.java
+++ b/expression/src/main/java/ledgewall/expression/Compiler.java
@@ -138,24 +138,27 @@
     /** An error counts only where no other part decides. */
     private static Code logic(boolean all, Code[] parts) {
         int decisive = all ? 0 : 1;
-        return test(frame -> {
-            ErrorKind error = null;
-            for (Code part : parts) {
-                int value = part.bool(frame);
-                if (value == decisive) {
-                    return decisive;
+        return new Code.Bool() {
+            @Override
+            int bool(Frame frame) {
+                ErrorKind error = null;
+                for (Code part : parts) {
+                    int value = part.bool(frame);
+                    if (value == decisive) {
+                        return decisive;
+                    }
+                    if (value == Code.ERROR) {
+                        error = error == null ? frame.error() : error;
+                        frame.error(null);
+                    }
                 }
-                if (value == Code.ERROR) {
-                    error = error == null ? frame.error() : error;
-                    frame.error(null);
+                if (error != null) {
+                    frame.error(error);
+                    return Code.ERROR;
                 }
+                return 1 - decisive;
             }
-            if (error != null) {
-                frame.error(error);
-                return Code.ERROR;
-            }
-            return 1 - decisive;
-        });
+        };
     }
 
     private static Code choice(Node.Choice node, Code condition, Code yes, Code no) {
@@ -255,25 +258,33 @@
             case "in" -> membership(first, second);
             case "[]" -> first.type().kind() == Kind.MAP ? lookUp(compile(first), compile(second)) : null;
             case "orValue" -> orValue(first, second);
-            case "startsWith", "endsWith", "contains" -> text(call.function().name(), compile(first), compile(second));
-            case "matches" -> matches(compile(first), (Pattern) ((Node.Constant) second).value());
-            case "hash" -> hash(compile(first));
-            case "bucket" -> bucket(compile(first), compile(second));
+            case "startsWith", "endsWith", "contains" -> text(call.function().name(), Operand.of(first, this),
+                Operand.of(second, this));
+            case "matches" -> matches(Operand.of(first, this), (Pattern) ((Node.Constant) second).value());
+            case "size" -> size(Operand.of(first, this));
+            case "hash" -> hash(Operand.of(first, this));
+            case "bucket" -> bucket(Operand.of(first, this), compile(second));
             default -> null;
         };
     }
 
     private static Code not(Code part) {
-        return test(frame -> {
-            int value = part.bool(frame);
-            return value == Code.ERROR ? value : 1 - value;
-        });
+        return new Code.Bool() {
+            @Override
+            int bool(Frame frame) {
+                int value = part.bool(frame);
+                return value == ERROR ? value : 1 - value;
+            }
+        };
     }
 
     private Code equality(boolean same, Node first, Node second) {
+        int yes = same ? 1 : 0;
+        if (first.type() == Type.STRING || first.type() == Type.BYTES) {
+            return plainEquality(yes, Operand.of(first, this), Operand.of(second, this));
+        }
         Code a = compile(first);
         Code b = compile(second);
-        int yes = same ? 1 : 0;
         if (first.type().isLong()) {
             return test(frame -> {
                 long x = a.number(frame);
@@ -294,17 +305,30 @@
                 return y == Code.ERROR ? y : x == y ? yes : 1 - yes;
             });
         }
-        boolean plain = first.type() == Type.STRING || first.type() == Type.BYTES;
         return test(frame -> {
             Object x = a.ref(frame);
             if (x == null) {
                 return Code.ERROR;
             }
             Object y = b.ref(frame);
-            return y == null ? Code.ERROR : (plain ? x.equals(y) : Values.equal(x, y)) ? yes : 1 - yes;
+            return y == null ? Code.ERROR : Values.equal(x, y) ? yes : 1 - yes;
         });
     }
 
+    private static Code plainEquality(int yes, Operand a, Operand b) {
+        return new Code.Bool() {
+            @Override
+            int bool(Frame frame) {
+                Object x = a.ref(frame);
+                if (x == null) {
+                    return ERROR;
+                }
+                Object y = b.ref(frame);
+                return y == null ? ERROR : x.equals(y) ? yes : 1 - yes;
+            }
+        };
+    }
+
     private static Code order(String name, Code a, Code b) {
         boolean less = name.startsWith("<");
         int equal = name.length() == 2 ? 1 : 0;
@@ -319,6 +343,7 @@
     }
 
     private static Code exact(String name, Code a, Code b) {
+        char sign = name.charAt(0);
         return number(frame -> {
             long x = a.number(frame);
             if (frame.error() != null) {
@@ -328,10 +353,10 @@
             if (frame.error() != null) {
                 return 0;
             }
-            long result = name.equals("+") ? x + y : name.equals("-") ? x - y : x * y;
-            boolean over = switch (name) {
-                case "+" -> ((x ^ result) & (y ^ result)) < 0;
-                case "-" -> ((x ^ y) & (x ^ result)) < 0;
+            long result = sign == '+' ? x + y : sign == '-' ? x - y : x * y;
+            boolean over = switch (sign) {
+                case '+' -> ((x ^ result) & (y ^ result)) < 0;
+                case '-' -> ((x ^ y) & (x ^ result)) < 0;
                 default -> Math.multiplyHigh(x, y) != result >> 63;
             };
             if (over) {
@@ -342,9 +367,9 @@
     }
 
     private Code membership(Node first, Node second) {
-        Code a = compile(first);
+        Operand a = Operand.of(first, this);
         if (second.type().kind() == Kind.MAP) {
-            Code map = compile(second);
+            Operand map = Operand.of(second, this);
             return test(frame -> {
                 Object key = a.ref(frame);
                 if (key == null) {
@@ -359,10 +384,13 @@
             return null;
         }
         Set<Object> set = new HashSet<>((List<?>) constant.value());
-        return test(frame -> {
-            Object value = a.ref(frame);
-            return value == null ? Code.ERROR : set.contains(value) ? 1 : 0;
-        });
+        return new Code.Bool() {
+            @Override
+            int bool(Frame frame) {
+                Object value = a.ref(frame);
+                return value == null ? ERROR : set.contains(value) ? 1 : 0;
+            }
+        };
     }
 
     private static Code lookUp(Code map, Code key) {
@@ -411,40 +439,76 @@
         });
     }
 
-    private static Code text(String name, Code a, Code b) {
-        return test(frame -> {
-            String text = (String) a.ref(frame);
+    private static Code text(String name, Operand a, Operand b) {
+        return switch (name) {
+            case "startsWith" -> new Text(a, b) {
+                @Override
+                boolean holds(String text, String other) {
+                    return text.startsWith(other);
+                }
+            };
+            case "endsWith" -> new Text(a, b) {
+                @Override
+                boolean holds(String text, String other) {
+                    return text.endsWith(other);
+                }
+            };
+            default -> new Text(a, b) {
+                @Override
+                boolean holds(String text, String other) {
+                    return text.contains(other);
+                }
+            };
+        };
+    }
+
+    /** A question about two strings. */
+    private abstract static class Text extends Code.Bool {
+        private final Operand a;
+        private final Operand b;
+
+        private Text(Operand a, Operand b) {
+            this.a = a;
+            this.b = b;
+        }
+
+        abstract boolean holds(String text, String other);
+
+        @Override
+        final int bool(Frame frame) {
+            Object text = a.ref(frame);
             if (text == null) {
-                return Code.ERROR;
-            }
-            String other = (String) b.ref(frame);
-            if (other == null) {
-                return Code.ERROR;
+                return ERROR;
             }
-            boolean holds = switch (name) {
-                case "startsWith" -> text.startsWith(other);
-                case "endsWith" -> text.endsWith(other);
-                default -> text.contains(other);
-            };
-            return holds ? 1 : 0;
-        });
+            Object other = b.ref(frame);
+            return other == null ? ERROR : holds((String) text, (String) other) ? 1 : 0;
+        }
     }
 
-    private static Code matches(Code text, Pattern pattern) {
+    private static Code matches(Operand text, Pattern pattern) {
         return test(frame -> {
             String value = (String) text.ref(frame);
             return value == null ? Code.ERROR : pattern.matcher(value).find() ? 1 : 0;
         });
     }
 
-    private static Code hash(Code key) {
+    private static Code size(Operand held) {
+        return number(frame -> {
+            Object value = held.ref(frame);
+            return value == null ? 0 : value instanceof String text ? text.length()
+                : value instanceof List<?> list ? list.size() : value instanceof Map<?, ?> map ? map.size()
+                : ((Bytes) value).size();
+        });
+    }
+
+    private static Code hash(Operand key) {
         return number(frame -> {
             Object value = key.ref(frame);
             return value == null ? 0 : Texts.hash(value);
         });
     }
 
-    private static Code bucket(Code key, Code buckets) {
+    private static Code bucket(Operand key, Code buckets) {
         return number(frame -> {
             Object value = key.ref(frame);
             if (value == null) {
--- a/expression/src/main/java/ledgewall/expression/Program.java
+++ b/expression/src/main/java/ledgewall/expression/Program.java
@@ -12,6 +12,7 @@
     private final Code code;
     private final int sharedSlots;
     private final int variableSlots;
+    private final boolean needsSlots;
 
     Program(String source, Node node, Cost cost, Code code, int sharedSlots, int variableSlots) {
         this.source = source;
@@ -20,6 +21,7 @@
         this.code = code;
         this.sharedSlots = sharedSlots;
         this.variableSlots = variableSlots;
+        this.needsSlots = sharedSlots + variableSlots > 0;
     }
 
     public String source() {
@@ -92,7 +94,9 @@
 
     /** Whether a condition holds for a request: true, false, or null where it is the error that the frame tells. */
     public boolean matches(Frame frame) {
-        frame.reserve(sharedSlots, variableSlots);
+        if (needsSlots) {
+            frame.reserve(sharedSlots, variableSlots);
+        }
         frame.error(null);
         return code.bool(frame) == 1;
     }
--- a/expression/src/main/java/ledgewall/rules/RuleIndex.java
+++ b/expression/src/main/java/ledgewall/rules/RuleIndex.java
@@ -17,8 +17,6 @@
  * Each rule stands under one requirement alone, the one that is met least often as far as can be told.
  */
 final class RuleIndex {
-    private static final int[] NONE = {};
-
     /** How a rule is found. */
     enum Way { EQUALITY, PREFIX, RANGE, SCAN }
 
@@ -26,7 +24,7 @@
     private static final class Shelf {
         private final Map<Object, int[]> equal = new HashMap<>();
         private final Map<String, int[]> prefixes = new HashMap<>();
-        private int[] lengths = NONE;
+        private PrefixTable table = new PrefixTable(Map.of());
         private long[] starts = {};
         private int[][] spans = {};
     }
@@ -60,7 +58,7 @@
         subjects = shelves.keySet().toArray(new Subject[0]);
         shelfOf = shelves.values().toArray(new Shelf[0]);
         for (Shelf shelf : shelfOf) {
-            shelf.lengths = shelf.prefixes.keySet().stream().mapToInt(String::length).distinct().sorted().toArray();
+            shelf.table = new PrefixTable(shelf.prefixes);
         }
     }
 
@@ -155,7 +153,7 @@
         private int[] places = new int[16];
         private int count;
 
-        private void add(int[] list) {
+        void add(int[] list) {
             if (list == null || list.length == 0) {
                 return;
             }
@@ -202,12 +200,7 @@
     private static void gather(Shelf shelf, Object value, Scratch scratch) {
         scratch.add(shelf.equal.get(value));
         if (value instanceof String text) {
-            for (int length : shelf.lengths) {
-                if (length > text.length()) {
-                    break;
-                }
-                scratch.add(shelf.prefixes.get(text.substring(0, length)));
-            }
+            shelf.table.gather(text, scratch);
         }
         if (value instanceof Long number && shelf.starts.length > 0) {
             int place = Arrays.binarySearch(shelf.starts, number);
--- /dev/null
+++ b/expression/src/test/java/ledgewall/expression/ReferenceTest.java
@@ -0,0 +1,22 @@
+package ledgewall.expression;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The reference page says what the code has: each line of its tables, no more and no less. */
+class ReferenceTest {
+    @Test
+    void thePageIsWhatTheCodeHas() throws IOException {
+        List<String> wanted = new ArrayList<>(Reference.attributes(Schema.ofRequests()));
+        wanted.addAll(Reference.functions());
+        List<String> written = Files.readAllLines(Path.of("docs/expression-reference.md")).stream()
+            .filter(line -> wanted.contains(line) || line.matches("\\| (function|method|operator) \\| .*")).toList();
+        assertEquals(String.join("\n", wanted), String.join("\n", written));
+    }
+}
