Compute once what several conditions of a table say alike; bound sql.text at 16,384 characters

Rules repeat dear parts, a regular expression over the statement's text above all. Parts from 32 steps on that two or more conditions share, by a canonical form that ignores places and names, are now computed once for a request. A frame that goes from one file's expressions to another's forgets what was shared: their slots mean different things.

sql.text was declared with 200,000 characters, so that any regular expression over it passed the limit of 100,000 steps (found by a test): it has 16,384 now, a longer text is the error too_large. The example file names functions that write, with a case.

--- a/deploy/rules-cases.hcl
+++ b/deploy/rules-cases.hcl
@@ -26,6 +26,14 @@
   }
 }
 
+case "a function that writes" {
+  sql = "SELECT Book (7, 'AB-123')"
+  expect {
+    rule  = "functions that write"
+    class = "book-bay"
+  }
+}
+
 case "a traveller's trips" {
   sql = "SELECT t.at FROM public.trips AS t JOIN bays b ON b.id = t.bay"
   expect {
--- a/deploy/rules.hcl
+++ b/deploy/rules.hcl
@@ -27,6 +27,13 @@
   }
 }
 
+# No word of these changes data, the functions do; the table has to know them.
+rule "functions that write" {
+  match   = "sql.text.matches(r'(?i)\\b(book|cancel)\\s*\\(')"
+  class   = "book-bay"
+  session = "user"
+}
+
 rule "history" {
   match = "sql.keyword == 'SELECT' && sql.tables.exists(t, t in ['trips', 'trip_events'])"
   class = "trip-history"
--- a/expression/src/main/java/ledgewall/expression/Expressions.java
+++ b/expression/src/main/java/ledgewall/expression/Expressions.java
@@ -1,6 +1,8 @@
 package ledgewall.expression;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.antlr.v4.runtime.BaseErrorListener;
 import org.antlr.v4.runtime.CharStreams;
@@ -51,7 +53,24 @@
                 + limits.bytes() + " bytes at most");
         }
         slots = checker.slots();
-        return new Program(source, node, cost, compiler.compile(node), named.size(), slots);
+        return new Program(source, node, cost, compiler.compile(node), named.size(), slots, this);
+    }
+
+    /**
+     * The same expressions, accepted by this object, with what several of them say alike computed once for a request. They
+     * say what they said before; one whose bound would pass the limit by that stays as it is.
+     */
+    public List<Program> share(List<Program> programs) {
+        Sharing sharing = new Sharing(programs.stream().map(Program::node).toList(), named.size());
+        List<Node> nodes = programs.stream().map(program -> sharing.share(program.node())).toList();
+        List<Program> shared = new ArrayList<>();
+        for (int i = 0; i < nodes.size(); i++) {
+            Cost cost = Cost.of(nodes.get(i));
+            boolean fits = cost.steps() <= limits.steps() && cost.bytes() <= limits.bytes();
+            shared.add(!fits ? programs.get(i) : new Program(programs.get(i).source(), nodes.get(i), cost,
+                compiler.compile(nodes.get(i)), sharing.slots(), slots, this));
+        }
+        return shared;
     }
 
     private GrammarParser.SourceContext parse(String source) throws ExpressionException {
--- a/expression/src/main/java/ledgewall/expression/Frame.java
+++ b/expression/src/main/java/ledgewall/expression/Frame.java
@@ -14,6 +14,7 @@
     private long stamp = 1;
     /** What comprehensions go over; a slot holds an element while its body is evaluated. */
     private Object[] variables = new Object[0];
+    private Object owner;
     private ErrorKind error;
 
     public Frame(Schema schema) {
@@ -34,6 +35,7 @@
         if (attributes[attribute.index()] != attribute || !Values.fits(value, attribute.type())) {
             throw new IllegalArgumentException("'" + attribute.name() + "' is no " + value.getClass().getSimpleName());
         }
+        stamp++;
         boolean fits = Values.within(Values.measure(value), attribute.size());
         values[attribute.index()] = fits ? value : ErrorKind.TOO_LARGE;
         longs[attribute.index()] = value instanceof Long number ? number : 0;
@@ -48,11 +50,15 @@
         return longs[index];
     }
 
-    /** Makes room for a program's shared expressions and comprehensions. */
-    void reserve(int sharedSlots, int variableSlots) {
+    /** Makes room for a program's shared expressions and comprehensions; what others have shared is forgotten. */
+    void reserve(Object programs, int sharedSlots, int variableSlots) {
+        if (programs != owner) {
+            owner = programs;
+            stamp++;
+        }
         if (shared.length < sharedSlots) {
-            shared = new Object[sharedSlots];
-            stamps = new long[sharedSlots];
+            shared = java.util.Arrays.copyOf(shared, sharedSlots);
+            stamps = java.util.Arrays.copyOf(stamps, sharedSlots);
         }
         if (variables.length < variableSlots) {
             variables = new Object[variableSlots];
--- a/expression/src/main/java/ledgewall/expression/Program.java
+++ b/expression/src/main/java/ledgewall/expression/Program.java
@@ -13,8 +13,11 @@
     private final int sharedSlots;
     private final int variableSlots;
     private final boolean needsSlots;
+    /** Whose slots these are: those of another's expressions mean something else. */
+    private final Object owner;
 
-    Program(String source, Node node, Cost cost, Code code, int sharedSlots, int variableSlots) {
+    Program(String source, Node node, Cost cost, Code code, int sharedSlots, int variableSlots, Object owner) {
+        this.owner = owner;
         this.source = source;
         this.node = node;
         this.cost = cost;
@@ -86,7 +89,7 @@
 
     /** The value for a request, or an {@link ErrorKind}. */
     public Object evaluate(Frame frame) {
-        frame.reserve(sharedSlots, variableSlots);
+        frame.reserve(owner, sharedSlots, variableSlots);
         frame.error(null);
         Object value = code.ref(frame);
         return value == null ? frame.error() : value;
@@ -95,7 +98,7 @@
     /** Whether a condition holds for a request: true, false, or null where it is the error that the frame tells. */
     public boolean matches(Frame frame) {
         if (needsSlots) {
-            frame.reserve(sharedSlots, variableSlots);
+            frame.reserve(owner, sharedSlots, variableSlots);
         }
         frame.error(null);
         return code.bool(frame) == 1;
@@ -111,7 +114,7 @@
 
     /** Evaluates by walking the tree, and counts: for tests and for whoever asks what an expression took. */
     public Counted count(Frame frame) {
-        frame.reserve(sharedSlots, variableSlots);
+        frame.reserve(owner, sharedSlots, variableSlots);
         Interpreter interpreter = new Interpreter(frame, new Object[variableSlots]);
         Object value = interpreter.value(node);
         return new Counted(value, interpreter.taken());
--- a/expression/src/main/java/ledgewall/expression/Schema.java
+++ b/expression/src/main/java/ledgewall/expression/Schema.java
@@ -51,7 +51,7 @@
             .with("headers", Type.mapOf(Type.STRING), Size.map(100, 128, Size.chars(1_024)), "its headers, names in lower case")
             .with("query", Type.mapOf(Type.STRING), Size.map(64, 128, Size.chars(1_024)),
                 "its query parameters, the first of each")
-            .with("sql.text", Type.STRING, Size.chars(200_000), "a statement's text, its comment included")
+            .with("sql.text", Type.STRING, Size.chars(16_384), "a statement's text, its comment included")
             .with("sql.keyword", Type.STRING, Size.chars(32), "its first word, in capitals")
             .with("sql.tables", Type.listOf(Type.STRING), Size.list(16, word), "the tables that it names, in lower case")
             .with("sql.writes", Type.BOOL, Size.ONE, "whether a word that changes data or locks rows stands outside its quotes")
--- a/expression/src/main/java/ledgewall/rules/RuleTable.java
+++ b/expression/src/main/java/ledgewall/rules/RuleTable.java
@@ -68,6 +68,11 @@
             }
             lines.add(line(rule, expressions, classes));
         }
+        List<Program> conditions = expressions.share(lines.stream().map(Line::match).toList());
+        for (int i = 0; i < lines.size(); i++) {
+            Line line = lines.get(i);
+            lines.set(i, new Line(line.rule(), conditions.get(i), line.outputs(), line.limitKey()));
+        }
         return new RuleTable(schema, lines);
     }
 
--- a/expression/src/test/java/ledgewall/expression/ExpressionsTest.java
+++ b/expression/src/test/java/ledgewall/expression/ExpressionsTest.java
@@ -159,6 +159,41 @@
         });
     }
 
+    /** A search that several conditions make is made once; a part that depends on an element stays where it is. */
+    @Test
+    void whatSeveralSayAlikeIsComputedOnce() throws ExpressionException {
+        Expressions expressions = new Expressions(schema, Limits.USUAL);
+        String search = "sql.text.matches('(book|cancel)[ (]')";
+        List<Program> apart = List.of(expressions.compile("user == 'x' && " + search), expressions.compile("!" + search),
+            expressions.compile("sql.tables.exists(t, t.contains(user))"),
+                expressions.compile("sql.tables.all(t, t.contains(user))"));
+        List<Program> shared = expressions.share(apart);
+        Frame frame = request("user", "x", "sql.text", "SELECT book (7)", "sql.tables", List.of("bays"));
+        for (int i = 0; i < apart.size(); i++) {
+            assertEquals(apart.get(i).evaluate(frame), shared.get(i).evaluate(frame));
+            assertEquals(apart.get(i).evaluate(frame), shared.get(i).count(frame).value());
+        }
+        List<String> plan = Reference.plan(shared.get(1));
+        assertTrue(plan.get(1).contains("shared part"), plan::toString);
+        assertTrue(Reference.plan(shared.get(2)).stream().noneMatch(line -> line.contains("shared")));
+        frame.set(schema.attribute("sql.text"), "SELECT 1");
+        assertEquals(true, shared.get(1).evaluate(frame));
+        assertEquals(true, shared.get(0).requirements().size() == 1 && apart.get(0).covers(shared.get(0)));
+    }
+
+    /** A frame that goes from one file's expressions to another's must not keep what the first has shared. */
+    @Test
+    void aFrameMayBeUsedByTheExpressionsOfTwoFiles() throws ExpressionException {
+        Frame frame = booking();
+        Expressions first = new Expressions(schema, Limits.USUAL);
+        first.define("a", "user == 'kiosk-7'");
+        Expressions second = new Expressions(schema, Limits.USUAL);
+        second.define("a", "user == 'desk'");
+        assertTrue(first.compile("a").matches(frame));
+        assertEquals(false, second.compile("a").matches(frame));
+        assertTrue(first.compile("a").matches(frame));
+    }
+
     /** Keys and buckets outlive versions: what they say may never change. */
     @Test
     void hashesStayWhatTheyAre() throws ExpressionException {
