--- a/cli/src/main/java/ledgewall/cli/AttributeText.java
+++ b/cli/src/main/java/ledgewall/cli/AttributeText.java
@@ -55,7 +55,7 @@
     }
 
     /** Read as the language reads such constants. */
-    private static Object read(String name, Type type, String text) throws SettingsException {
+    static Object read(String name, Type type, String text) throws SettingsException {
         String quoted = "'" + text.replace("\\", "\\\\").replace("'", "\\'") + "'";
         String source = switch (type.kind()) {
             case BOOL -> quoted + " == 'true'";
--- a/cli/src/main/java/ledgewall/cli/ExpressionCommand.java
+++ b/cli/src/main/java/ledgewall/cli/ExpressionCommand.java
@@ -1,6 +1,7 @@
 package ledgewall.cli;
 
 import java.io.PrintWriter;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -16,6 +17,7 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
@@ -70,6 +72,9 @@
         @Parameters(index = "0", paramLabel = "EXPRESSION")
         private String source;
 
+        @Option(names = "--request", paramLabel = "FILE", description = "The request as a JSON object of attributes.")
+        private Path request;
+
         @Parameters(index = "1..*", arity = "0..*", paramLabel = "NAME=VALUE", description = "Attributes of the request.")
         private List<String> attributes = List.of();
 
@@ -78,6 +83,9 @@
             Schema schema = Schema.ofRequests();
             Program program = compile(schema, source);
             Frame frame = new Frame(schema);
+            if (request != null) {
+                AttributeJson.set(schema, frame, request.getFileName().toString(), RulesFile.text(request));
+            }
             for (String one : attributes) {
                 int equals = one.indexOf('=');
                 if (equals < 0) {
--- a/cli/src/test/java/ledgewall/cli/CliTest.java
+++ b/cli/src/test/java/ledgewall/cli/CliTest.java
@@ -78,6 +78,22 @@
         assertTrue(said().contains("ledgewall: no such file: nowhere.json"));
     }
 
+    @Test
+    void aRequestMayBeJson(@TempDir Path folder) throws IOException {
+        Path request = folder.resolve("request.json");
+        Files.writeString(request, "{\"user\": \"kiosk-7\", \"sql.tables\": [\"bays\"], \"sql.writes\": true,"
+            + " \"comment\": {\"c\": \"x\"}, \"tls.name\": null, \"now\": \"2026-12-01T08:00:00Z\"}");
+        assertEquals(0, run("expression", "eval", "--request", request.toString(),
+            "sql.writes && 'bays' in sql.tables && comment.c == 'x' && !tls.name.hasValue() && now.getHours() == 8"));
+        assertEquals("true", said().strip());
+        for (String bad : new String[] {"", "[]", "{\"user\": 5}", "{\"usr\": \"x\"}", "{\"now\": \"noon\"}", "{} {}",
+            "{\"sql.tables\": [[]]}"}) {
+            Files.writeString(request, bad);
+            assertEquals(1, run("expression", "eval", "--request", request.toString(), "true"), bad);
+            assertTrue(said().startsWith("ledgewall: "), bad);
+        }
+    }
+
     private static String refused(String text) {
         return assertThrows(SettingsException.class, () -> RulesFile.parse("rules.hcl", text, Set.of("book-bay", "bay-status")))
             .getMessage();
