--- a/expression/src/main/java/ledgewall/expression/Compiler.java
+++ b/expression/src/main/java/ledgewall/expression/Compiler.java
@@ -17,6 +17,9 @@
 final class Compiler {
     /** Shared expressions are compiled once, whoever names them. */
     private final Map<Integer, Code> shared = new HashMap<>();
+    /** Classes of their own, of one file's expressions; each takes some KB and is warmed up for itself. */
+    private static final int MOST_CLASSES = 1_000;
+    private int classes;
 
     Code compile(Node node) {
         if (node instanceof Node.Constant constant) {
@@ -30,7 +33,9 @@
             return ref(frame -> frame.variable(slot));
         }
         if (node instanceof Node.Logic logic) {
-            return logic(logic.all(), compile(logic.parts()));
+            Code own = classes < MOST_CLASSES ? Bytecode.of(logic, this) : null;
+            classes += own == null ? 0 : 1;
+            return own != null ? own : logic(logic.all(), compile(logic.parts()));
         }
         if (node instanceof Node.Choice choice) {
             return choice(choice, compile(choice.condition()), compile(choice.yes()), compile(choice.no()));
--- a/expression/src/test/java/ledgewall/expression/FuzzTest.java
+++ b/expression/src/test/java/ledgewall/expression/FuzzTest.java
@@ -50,6 +50,41 @@
         assertTrue(counts.get("accepted") > expressions / 4, "most of what is generated is to be worth evaluating");
     }
 
+    /** Conditions as rules have them, which become classes of their own: errors, negations and nesting in each mixture. */
+    @Test
+    void conditionsOfPlainPartsSayWhatTheInterpreterSays() {
+        SplittableRandom random = new SplittableRandom(13);
+        for (int i = 0; i < 5_000; i++) {
+            String source = condition(random, 3);
+            one(source, new Generator(random.split()));
+        }
+        assertEquals(5_000, counts.get("accepted") + counts.getOrDefault("refused", 0L));
+        assertTrue(counts.get("value") > 5_000 && counts.get("error: ABSENT") > 500 && counts.get("error: NO_SUCH_KEY") > 500);
+    }
+
+    private static String condition(SplittableRandom random, int depth) {
+        if (depth == 0 || random.nextInt(4) == 0) {
+            String read = List.of("name", "peer.address", "headers['a']", "headers['ab,']").get(random.nextInt(4));
+            String text = "'" + List.of("", "a", "ab,", "facts", "10.1").get(random.nextInt(5)) + "'";
+            String part = switch (random.nextInt(7)) {
+                case 0 -> read + " == " + text;
+                case 1 -> read + " != " + text;
+                case 2 -> read + " in [" + text + ", 'b']";
+                case 3 -> read + ".startsWith(" + text + ")";
+                case 4 -> read + ".endsWith(" + text + ")";
+                case 5 -> read + ".contains(" + text + ")";
+                default -> random.nextBoolean() ? "flag" : "count / (count - 1) > 0";
+            };
+            return random.nextInt(3) == 0 ? "!(" + part + ")" : part;
+        }
+        StringBuilder all = new StringBuilder(condition(random, depth - 1));
+        String sign = random.nextBoolean() ? " && " : " || ";
+        for (int i = random.nextInt(4); i >= 0; i--) {
+            all.append(sign).append(condition(random, depth - 1));
+        }
+        return (random.nextInt(4) == 0 ? "!" : "") + "(" + all + ")";
+    }
+
     private void one(String source, Generator generator) {
         Program program;
         Program shared;
