--- a/expression/src/main/java/ledgewall/rules/RuleTable.java
+++ b/expression/src/main/java/ledgewall/rules/RuleTable.java
@@ -39,6 +39,9 @@
     private final long[][] errors;
     private final long[] matches;
     private long unmatched;
+    /** The request in hand, so that asking allocates nothing. */
+    private Frame asked;
+    private final RuleIndex.Visitor visitor = this::holds;
 
     /**
      * Compiles and checks a table.
@@ -179,7 +182,9 @@
     /** The first rule that matches, and what it says. */
     public void decide(Frame frame, Decision into) {
         into.clear();
-        int rule = index.first(frame, scratch, number -> matches(number, frame));
+        asked = frame;
+        int rule = index.first(frame, scratch, visitor);
+        asked = null;
         if (rule < 0) {
             unmatched++;
             return;
@@ -198,7 +203,8 @@
         return -1;
     }
 
-    private boolean matches(int rule, Frame frame) {
+    private boolean holds(int rule) {
+        Frame frame = asked;
         Program match = lines.get(rule).match();
         boolean holds = match.matches(frame);
         if (!holds && match.error(frame) != null) {
@@ -212,6 +218,17 @@
         into.rule = number;
         into.name = line.rule().name();
         into.requestClass = line.rule().requestClass();
+        if (!line.outputs().isEmpty()) {
+            compute(number, line, frame, into);
+        }
+        if (line.rule().limit() != null) {
+            Object key = line.limitKey() == null ? "" : line.limitKey().evaluate(frame);
+            // whoever makes the key an error shares one key with all who do
+            into.limitKey = key instanceof ErrorKind ? "" : (String) key;
+        }
+    }
+
+    private void compute(int number, Line line, Frame frame, Decision into) {
         for (Map.Entry<Output, Program> one : line.outputs().entrySet()) {
             Object value = one.getValue().evaluate(frame);
             if (value instanceof ErrorKind error) {
@@ -227,11 +244,6 @@
                 default -> throw new IllegalStateException("no output " + one.getKey());
             }
         }
-        if (line.rule().limit() != null) {
-            Object key = line.limitKey() == null ? "" : line.limitKey().evaluate(frame);
-            // whoever makes the key an error shares one key with all who do
-            into.limitKey = key instanceof ErrorKind ? "" : (String) key;
-        }
     }
 
     /** How often a rule matched. */
