Take out two methods that nobody calls

A look through the whole change found Frame.variables and PrefixTable.toString without a caller. Measured: the tests of the language, the tables and the command line pass as before.

--- a/expression/src/main/java/ledgewall/expression/Frame.java
+++ b/expression/src/main/java/ledgewall/expression/Frame.java
@@ -86,10 +86,6 @@
         variables[slot] = value;
     }
 
-    Object[] variables() {
-        return variables;
-    }
-
     /** The error that the value in hand is, or null. */
     ErrorKind error() {
         return error;
--- a/expression/src/main/java/ledgewall/expression/Type.java
+++ b/expression/src/main/java/ledgewall/expression/Type.java
@@ -55,7 +55,7 @@
         return isLong() || kind == Kind.DOUBLE || kind == Kind.STRING || kind == Kind.BYTES;
     }
 
-    /** Whether values of it may be a map's or a list's element, and so be compared whole: all but bools' containers. */
+    /** Whether values of it hold no others. */
     boolean isScalar() {
         return of == null;
     }
--- a/expression/src/main/java/ledgewall/rules/PrefixTable.java
+++ b/expression/src/main/java/ledgewall/rules/PrefixTable.java
@@ -1,6 +1,5 @@
 package ledgewall.rules;
 
-import java.util.Arrays;
 import java.util.Map;
 
 /** Finds all of some prefixes that a text begins with, in one walk over it and without a new object. */
@@ -47,9 +46,4 @@
             }
         }
     }
-
-    @Override
-    public String toString() {
-        return "prefixes of lengths " + Arrays.toString(lengths);
-    }
 }
