Tell classifiers what a comment says that is not whole

A statement whose comment lacked id, class, wait or cluster was classified with no comment at all, so the example file's lot = comment[?'lot'] never saw a field. Its names and values are told now; its bytes go on as they came, since no field of such a comment is the router's to write anew.

--- a/router/src/main/java/ledgewall/pg/Statement.java
+++ b/router/src/main/java/ledgewall/pg/Statement.java
@@ -21,6 +21,8 @@
 
     private final byte[] frame;
     private final Map<String, Field> fields;
+    /** What a comment says that is not whole: for whoever classifies the statement. */
+    private final Map<String, String> loose;
     private final String id;
     private final String className;
     private final String tenant;
@@ -47,6 +49,7 @@
     private Statement(byte[] frame, Map<String, Field> fields, int sqlStart) throws Malformed {
         this.frame = frame;
         this.fields = fields;
+        this.loose = Map.of();
         this.id = plain("id", required("id"));
         this.className = plain("c", required("c"));
         this.tenant = fields.containsKey("t") ? plain("t", fields.get("t")) : "";
@@ -61,6 +64,7 @@
     private Statement(Statement other, SqlSummary summary, String id, Classified as) {
         this.frame = other.frame;
         this.fields = other.fields;
+        this.loose = other.loose;
         this.summary = summary;
         this.id = id;
         this.className = as.className();
@@ -73,9 +77,10 @@
     }
 
     /** One whose fields nobody has told yet. */
-    private Statement(byte[] frame, Map<String, Field> fields, SqlSummary summary) {
+    private Statement(byte[] frame, Map<String, String> loose, SqlSummary summary) {
         this.frame = frame;
-        this.fields = fields;
+        this.fields = Map.of(); // no field of it is this router's to write anew
+        this.loose = loose;
         this.summary = summary;
         this.id = "";
         this.className = "";
@@ -95,7 +100,7 @@
             return new Statement(whole, summary, whole.id, new Classified(whole.className, whole.tenant, whole.group, null,
                 whole.waitMillis, whole.retry));
         } catch (Malformed e) {
-            return new Statement(frame, Map.of(), summary);
+            return new Statement(frame, looseComment(frame), summary);
         }
     }
 
@@ -109,9 +114,23 @@
         return summary;
     }
 
+    /** The names and values of a comment before the statement, whatever it lacks; none where it cannot be read. */
+    private static Map<String, String> looseComment(byte[] frame) {
+        try {
+            int at = skipSpace(frame, Frame.LENGTH_BYTES + 1, frame.length - 1);
+            Map<String, String> values = new HashMap<>();
+            if (startsWith(frame, at, "/*")) {
+                fields(frame, at + 2, commentEnd(frame, at)).forEach((name, field) -> values.put(name, field.value()));
+            }
+            return values;
+        } catch (Malformed e) {
+            return Map.of();
+        }
+    }
+
     /** The fields of its comment. */
     public Map<String, String> comment() {
-        Map<String, String> values = new HashMap<>();
+        Map<String, String> values = new HashMap<>(loose);
         fields.forEach((name, field) -> values.put(name, field.value()));
         return values;
     }
@@ -132,6 +151,11 @@
         if (!startsWith(frame, at, "/*")) {
             throw new Malformed("a statement needs the comment with its id, class, wait and cluster");
         }
+        int close = commentEnd(frame, at);
+        return new Statement(frame, fields(frame, at + 2, close), close + 2);
+    }
+
+    private static int commentEnd(byte[] frame, int at) throws Malformed {
         int close = at + 2;
         while (!startsWith(frame, close, "*/")) {
             if (close >= frame.length - 1 || close > at + LONGEST_COMMENT) {
@@ -139,7 +163,7 @@
             }
             close++;
         }
-        return new Statement(frame, fields(frame, at + 2, close), close + 2);
+        return close;
     }
 
     static boolean isEmpty(byte[] bytes, int start, int end) {
--- a/router/src/test/java/ledgewall/net/PlainTest.java
+++ b/router/src/test/java/ledgewall/net/PlainTest.java
@@ -100,6 +100,21 @@
         assertTrue(arrived.take().startsWith("/* id=2,c=own,t=zeta,d="));
     }
 
+    /** A comment that is not whole says what it says; none of its bytes are the router's to change. */
+    @Test
+    void aCommentThatIsNotWholeIsToldAndGoesOnAsItCame() throws IOException, InterruptedException {
+        start();
+        Client client = rig.client();
+        String sql = "/* lot=songshan, d=soon */ SELECT data FROM bays";
+        client.send(Wire.query(sql));
+        assertEquals("TDC", client.types());
+        assertEquals(sql, arrived.take());
+        assertEquals("songshan", asked.get(0).comment().get("lot"));
+        client.send(Wire.query("/* a=1,a=2 */ SELECT data FROM bays"));
+        assertEquals("TDC", client.types());
+        assertTrue(asked.get(1).comment().isEmpty());
+    }
+
     @Test
     void whatNobodyKnowsAndWhatIsTooMuchReachesNoMember() throws IOException {
         start();
