Space sends of many routers only as far as the member strains

Checked: members turn nothing away (full 0, conn 0 in each window) and what is sent is answered in 130 ms at the median, so members are ruled out; held_share 0.71 says that the module holds. At fault is room(): a window of 12 is 0.13 for each of 93 routers, and one below 1 spaces sends by usual/window, 1.2 s, however idle the member is.

Change: the gap counts with the fourth power of the strain of the member or its kind, against the strain wanted; at that strain it is as before.

The new test fails without the change at the second write (seen with room() as it was).

--- a/core/src/main/java/ledgewall/Brain.java
+++ b/core/src/main/java/ledgewall/Brain.java
@@ -49,6 +49,8 @@
     /** A member's answers should take this part of their aims: the rest is for the long tail of work. */
     private static final double STRAIN_AIM = 0.42;
     private static final double FIRST_STRAIN = 0.25;
+    /** Power of strain in the spacing of sends: at half of the strain wanted a sixteenth is left. */
+    private static final double SPACING = 4;
     /** Windows of attempts at a member, of all routers together: at first, when cold, at least, a step up. */
     private static final double FIRST_WINDOW = 12;
     private static final double COLD_WINDOW = 4;
@@ -509,14 +511,17 @@
     /**
      * Guards against overload, of one member or of all, known only by its answers: no more own attempts are
      * out than leave answers well inside their aims. A window below one, where many routers share a member,
-     * spaces sends. Harm: a burst waits for idle members' windows to widen.
+     * spaces sends, the less the further the member and its kind are from their strain: thin traffic comes in
+     * clumps. Harm: a burst waits for idle members' windows to widen, or meets all routers' first at once.
      */
     private boolean room(Request request, Member member, double part) {
         double window = member.window * part;
         double usual = strain(member) * request.kind.aim();
         boolean slow = strain(member) >= STRAIN_AIM; // else what is out for long is lost: it holds no place
         long out = member.open.stream().filter(a -> slow || !late(a)).count();
-        return out == 0 ? window >= 1 || now - member.sentAt >= usual / window : out < window;
+        double load = Math.min(1, Math.max(member.kind.strain, strain(member)) / STRAIN_AIM);
+        double gap = Math.pow(load, SPACING) * usual / window;
+        return out == 0 ? window >= 1 || now - member.sentAt >= gap : out < window;
     }
 
     private boolean usable(Member member) {
--- a/core/src/test/java/ledgewall/BrainTest.java
+++ b/core/src/test/java/ledgewall/BrainTest.java
@@ -498,6 +498,28 @@
         assertTrue(sent[1] > 0 && 3 * sent[1] < sent[0], sent[0] + " and " + sent[1]);
     }
 
+    @Test
+    void ofManyRoutersEachSpacesItsSendsOnlyToMembersThatStrain() {
+        Bench bench = new Bench(settings(100, 0)).ready();
+        for (int i = 0; i < 10; i++) {
+            assertEquals(List.of("p"), sends(bench.ask(WRITE)), "well inside its aims, the " + i + "th");
+            bench.now += 10 * MS;
+            bench.outcome(bench.lastRequest(), 0, "p", Result.OK, Role.PRIMARY);
+            bench.now += 90 * MS;
+        }
+        int slow = 0;
+        for (int i = 0; i < 5; i++) {
+            bench.pass(2 * SECOND);
+            slow += sends(bench.ask(WRITE)).size();
+            bench.now += 10 * MS;
+            bench.feed(new Outcome(bench.lastRequest(), 0, "p", Result.OK, 290 * MS, true, Role.PRIMARY,
+                RoutingPolicy.NONE, null));
+        }
+        assertTrue(slow >= 3, "sent to a straining member, each two seconds: " + slow);
+        bench.now += 10 * MS;
+        assertEquals(List.of(), sends(bench.ask(WRITE)), "right after an answer that took nearly its aim");
+    }
+
     @Test
     void aRetryWhoseClientFirstAskedTooLongAgoIsRefusedAtOnce() {
         Bench bench = new Bench(settings()).ready();
