Refuse a configuration whose number of routers, rank, peers or limits cannot be

Shares of the fleet's sums are counted by peersTotal and rank: a missing number was taken for 1 and 0, so a router of a hundred would have taken the whole budget of a cold member. Now a missing, zero or negative number, a rank outside it, another number of peers than routers, and limits (sockets, maxAttempts, connectTimeoutNs, connIdleNs) that cannot be are told with their key: the start ends, a reload changes nothing, as for any bad file.

Measured: 10 new cases, which fail without the checks by design of their inputs; the tests of all modules pass.

--- a/router/src/main/java/ledgewall/net/RouterConfig.java
+++ b/router/src/main/java/ledgewall/net/RouterConfig.java
@@ -52,6 +52,12 @@
             : new ListUpdate(0, true, List.of());
         List<InetSocketAddress> peers = fields.elements("peers").stream()
             .map(peer -> address(fields.where(), "peers", peer.toString())).toList();
+        checkFleet(settings, peers.size());
+        atLeast(1, fields.object("limits"), "sockets", DEFAULT_SOCKETS);
+        Fields ceilings = settings.object("ceilings");
+        atLeast(1, ceilings, "maxAttempts", 1);
+        atLeast(0, ceilings, "connectTimeoutNs", 0);
+        atLeast(0, ceilings, "connIdleNs", 0);
         return new RouterConfig(
             fields.text("name", "router"), required(fields, "listen"), required(fields, "discovery"),
             seed(fields), (int) fields.object("limits").integer("sockets", DEFAULT_SOCKETS),
@@ -60,6 +66,28 @@
             SettingsReader.transportLimits(settings));
     }
 
+    /** Shares of the fleet's sums go by these numbers: one that is missing or cannot be is told, never guessed. */
+    private static void checkFleet(Fields settings, int peers) {
+        long routers = settings.integer("peersTotal");
+        long rank = settings.integer("rank");
+        if (routers < 1 || routers > Integer.MAX_VALUE) {
+            throw new FormatException(settings.where() + ": 'peersTotal' has to be 1 or more, not " + routers);
+        }
+        if (rank < 0 || rank >= routers) {
+            throw new FormatException(settings.where() + ": 'rank' has to be from 0 to " + (routers - 1) + ", not " + rank);
+        }
+        if (peers > 0 && peers != routers) {
+            throw new FormatException(settings.where() + ": 'peersTotal' is " + routers + ", but 'peers' names " + peers);
+        }
+    }
+
+    private static void atLeast(long least, Fields fields, String name, long otherwise) {
+        long value = fields.integer(name, otherwise);
+        if (value < least) {
+            throw new FormatException(fields.where() + ": '" + name + "' has to be " + least + " or more, not " + value);
+        }
+    }
+
     /** This configuration, with what of another may change while a router runs and what each start has anew. */
     RouterConfig withDiscovery(RouterConfig other) {
         return new RouterConfig(name, listen, other.discovery, other.seed, sockets, peerListen, peers, peersAll,
--- a/router/src/test/java/ledgewall/net/Rig.java
+++ b/router/src/test/java/ledgewall/net/Rig.java
@@ -109,7 +109,8 @@
         return "{\"name\":\"r1\",\"listen\":\"" + listen + "\",\"discovery\":\"" + discovery.address() + "\","
             + "\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":" + sockets + "}," + peers
             + "\"known\":{\"revision\":41,\"complete\":true,\"members\":[" + String.join(",", members) + "]},"
-            + "\"settings\":{\"areas\":[\"north\",\"south\"],\"kinds\":[\"small\"],\"discovery\":\"" + push + "\","
+            + "\"settings\":{\"peersTotal\":" + routers() + ",\"rank\":0,"
+            + "\"areas\":[\"north\",\"south\"],\"kinds\":[\"small\"],\"discovery\":\"" + push + "\","
             + "\"ceilings\":{\"maxAttempts\":3,\"parallelTries\":" + parallel + ",\"cancel\":true,\"probing\":true,"
             + "\"peers\":" + !peers.isEmpty() + ",\"connIdleNs\":" + idleMs * MS + ",\"connectTimeoutNs\":"
             + connectTimeoutMs * MS + "},"
@@ -121,6 +122,12 @@
             + "{\"name\":\"own\",\"aimNs\":300000000,\"deadlineNs\":900000000,\"effect\":\"idempotent\"}]}}";
     }
 
+    /** As many as 'peers' names. */
+    private int routers() {
+        String[] array = peers.split("\\[");
+        return array.length < 2 ? 1 : array[1].split("]")[0].split(",").length;
+    }
+
     Router start(RoutingPolicy policy) throws IOException {
         RouterConfig config = RouterConfig.parse(config().getBytes(StandardCharsets.UTF_8), "config");
         router = Router.start(config, (settings, seed) -> policy, pace, classifier);
--- a/router/src/test/java/ledgewall/net/StartTest.java
+++ b/router/src/test/java/ledgewall/net/StartTest.java
@@ -1,6 +1,7 @@
 package ledgewall.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -61,6 +62,28 @@
         assertThrows(FormatException.class, () -> parse(json));
     }
 
+    /** What shares of the fleet's sums are counted by is refused with its key, at the start and at a reload alike. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "\"peersTotal\":1,||peersTotal", "\"peersTotal\":1|\"peersTotal\":0|peersTotal",
+        "\"peersTotal\":1|\"peersTotal\":-3|peersTotal", "\"rank\":0,||rank", "\"rank\":0|\"rank\":1|rank",
+        "\"rank\":0|\"rank\":-1|rank", "\"sockets\":1024|\"sockets\":0|sockets",
+        "\"maxAttempts\":3|\"maxAttempts\":-1|maxAttempts", "\"connIdleNs\":|\"connIdleNs\":-|connIdleNs"})
+    void aNumberThatCannotBeIsToldWithItsKey(String from, String to, String key) throws IOException {
+        String good = rig.config();
+        String json = good.replaceFirst(from, to == null ? "" : to);
+        assertNotEquals(good, json);
+        FormatException told = assertThrows(FormatException.class, () -> parse(json));
+        assertTrue(told.getMessage().contains("'" + key + "'"), told.getMessage());
+    }
+
+    @Test
+    void morePeersThanRoutersAreTold() throws IOException {
+        String json = rig.peers("\"peers\":[\"127.0.0.5:1\",\"127.0.0.6:2\"],").config()
+            .replace("\"peersTotal\":2", "\"peersTotal\":3");
+        assertTrue(assertThrows(FormatException.class, () -> parse(json)).getMessage().contains("'peersTotal'"));
+    }
+
     @Test
     void anAddressThatIsTakenIsTold() throws IOException {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
