Test what 1, 10 and 100 routers send together to a member that is back cold

Change: a test drives 1, 10 and 100 instances of Brain against one member that goes for 4 s and returns cold, and holds every window of 2 s after that against factor, present capacity and what the member did warm. The program is as it was.

Measured: passes for all three.

--- a/core/src/test/java/ledgewall/Fleet.java
+++ b/core/src/test/java/ledgewall/Fleet.java
@@ -86,6 +86,14 @@
             new Listing(e.getKey(), e.getValue().group, 0, 0, Phase.SERVING, 1, false, 0)).toList());
     }
 
+    /** All routers hear that the member started just now. */
+    void restarted(String member) {
+        for (int rank = 0; rank < routers.size(); rank++) {
+            tell(rank, 0, new MemberList(ListKind.CHANGES, List.of(
+                new Listing(member, hosts.get(member).group, 0, 0, Phase.SERVING, 1, false, now))));
+        }
+    }
+
     void tell(int router, long delay, Event event) {
         due.add(new Due(now + delay, number++, router, event));
     }
--- a/core/src/test/java/ledgewall/FleetTest.java
+++ b/core/src/test/java/ledgewall/FleetTest.java
@@ -3,6 +3,7 @@
 import static ledgewall.Bench.SECOND;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import ledgewall.RoutingPolicy.Rules;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -38,6 +39,36 @@
         assertTrue(own < 2 * fleet.hosts.size(), "probes within a second of a restart: " + own);
     }
 
+    /**
+     * Rule 4, over all routers: in any window a member that is back cold gets no more than the factor times what it can
+     * do then, here a share of what each member did before, however many routers wait for it.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 10, 100})
+    void whatAllRoutersSendToAMemberThatIsBackColdDoesNotGrowWithTheirNumber(int routers) {
+        Fleet fleet = new Fleet(routers, 4);
+        int seconds = 20;
+        fleet.pass(seconds * SECOND, 300);
+        double warm = fleet.hosts.get("a0").sends.size() / (double) seconds;
+        fleet.hosts.get("a0").gone = true;
+        fleet.pass(4 * SECOND, 300);
+        fleet.hosts.get("a0").gone = false;
+        long back = fleet.now;
+        fleet.restarted("a0");
+        fleet.pass(6 * SECOND, 300);
+        Rules rules = Bench.rules();
+        for (long from = back; from < back + 4 * SECOND; from += SECOND / 10) {
+            long start = from;
+            long sent = fleet.hosts.get("a0").sends.stream().filter(at -> at >= start && at < start + rules.overloadWindow())
+                .count();
+            double present = rules.coldShare() + (1 - rules.coldShare()) * (start + rules.overloadWindow() - back)
+                / rules.warmAfter();
+            double most = rules.overloadFactor() * present * warm * rules.overloadWindow() / SECOND;
+            assertTrue(sent <= most, sent + " sent in a window, " + most + " at most, " + (start - back) / Bench.MS + " ms after");
+        }
+        assertTrue(fleet.hosts.get("a0").sends.stream().anyMatch(at -> at >= back), "it is asked again");
+    }
+
     @Test
     void routersThatHearNothingOfOneAnotherStillProbeEveryMember() {
         Fleet fleet = new Fleet(10, 2);
