--- a/core/src/test/java/ledgewall/FleetTest.java
+++ b/core/src/test/java/ledgewall/FleetTest.java
@@ -59,12 +59,12 @@
         Rules rules = Bench.rules();
         for (long from = back; from < back + 4 * SECOND; from += SECOND / 10) {
             long start = from;
-            long sent = fleet.hosts.get("a0").sends.stream().filter(at -> at >= start && at < start + rules.overloadWindow())
-                .count();
-            double present = rules.coldShare() + (1 - rules.coldShare()) * (start + rules.overloadWindow() - back)
+            long end = start + rules.overloadWindow();
+            long sent = fleet.hosts.get("a0").sends.stream().filter(at -> at >= start && at < end).count();
+            double present = rules.coldShare() + (1 - rules.coldShare()) * (end - back)
                 / rules.warmAfter();
             double most = rules.overloadFactor() * present * warm * rules.overloadWindow() / SECOND;
-            assertTrue(sent <= most, sent + " sent in a window, " + most + " at most, " + (start - back) / Bench.MS + " ms after");
+            assertTrue(sent <= most, sent + " sent in a window, " + most + " at most, " + (start - back) / Bench.MS + " ms on");
         }
         assertTrue(fleet.hosts.get("a0").sends.stream().anyMatch(at -> at >= back), "it is asked again");
     }
