--- a/router/src/main/java/ledgewall/net/Desk.java
+++ b/router/src/main/java/ledgewall/net/Desk.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -17,9 +18,12 @@
 import ledgewall.pg.SqlState;
 import ledgewall.pg.Statement;
 import ledgewall.settings.Vocabulary;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Takes requests in, tells the policy of them, and gives each its one answer. */
 final class Desk implements ClientConnection.Owner, Attempt.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
     /** A day: no client waits longer, and much longer would not fit the clock. */
     private static final long LONGEST_WAIT_MILLIS = 24L * 3_600 * 1_000;
     /**
@@ -69,6 +73,7 @@
         boolean full = clients.size() >= wiring.descriptors().forClients();
         if (full ? !closeAClient() : !wiring.descriptors().roomForTraffic() && !makeRoom()) {
             wiring.counters().add(Counters.Count.CLIENTS_TURNED_AWAY);
+            LOG.debug("event=client_turned_away clients={} held={}", clients.size(), wiring.descriptors().held());
             return false;
         }
         wiring.descriptors().take();
@@ -118,6 +123,7 @@
             return false;
         }
         wiring.counters().add(count);
+        LOG.debug("event=client_closed why={} clients={} held={}", count, clients.size(), wiring.descriptors().held());
         oldest.closeUnlessAnswering();
         return true;
     }
@@ -181,6 +187,8 @@
             request.answer(withReady(MessageWriter.error(SqlState.SYNTAX_ERROR, wrong)));
             return request;
         }
+        LOG.debug("event=request id={} number={} class={} group={} left_ms={}", statement.id(), request.number(),
+            statement.className(), statement.group(), Clock.toMillis(deadline - wiring.loop().now()));
         remember(statement.id(), deadline + answerSlack);
         requests.put(request.number(), request);
         request.watch(wiring.loop().at(deadline + answerSlack, () -> overdue(request)));
@@ -218,6 +226,7 @@
     private void overdue(ClientRequest request) {
         if (request.answer(failure("no answer in time"))) {
             wiring.counters().add(Counters.Count.OVERDUE);
+            log(request, "overdue");
             wiring.loop().tell(new RoutingPolicy.Lapsed(request.number()));
             forgetIfOver(request);
         }
@@ -233,6 +242,7 @@
             ids.remove(request.statement().id()); // its client may ask once more on another connection
         }
         wiring.counters().add(Counters.Count.LAPSED);
+        log(request, "client_gone");
         wiring.loop().tell(new RoutingPolicy.Lapsed(request.number()));
         forgetIfOver(request);
     }
@@ -269,6 +279,10 @@
         answer(refuse.request(), refusal(refuse.retryAfter()), Counters.Count.REFUSED);
     }
 
+    private static void log(ClientRequest request, String how) {
+        LOG.debug("event=request_ended id={} how={} attempts={}", request.statement().id(), how, request.attempts().size());
+    }
+
     private static byte[] refusal(long retryAfter) {
         String detail = retryAfter > 0 ? Long.toString(Clock.toMillis(retryAfter)) : null;
         return withReady(MessageWriter.error(SqlState.TOO_MANY_CONNECTIONS, "refused: trying again is harmless", detail));
@@ -282,6 +296,7 @@
         ClientRequest request = requests.get(number);
         if (request != null && request.answer(message)) {
             wiring.counters().add(count);
+            log(request, count.name().toLowerCase(Locale.ROOT));
             forgetIfOver(request);
         }
     }
@@ -306,6 +321,8 @@
     public void ended(Attempt attempt, Ending ending, Reply reply, long at) {
         ClientRequest request = attempt.request();
         wiring.counters().addEnding(ending);
+        LOG.debug("event=attempt_ended id={} attempt={} member={} ending={} ms={}", request.statement().id(), attempt.number(),
+            attempt.member(), ending, Clock.toMillis(Math.max(0, at - attempt.sentAt())));
         if (ending == Ending.BAD_STATEMENT && request.answer(
                 withReady(MessageWriter.error(SqlState.SYNTAX_ERROR, "no member could use this statement")))) {
             wiring.counters().add(Counters.Count.BAD_QUERIES);
--- a/router/src/main/java/ledgewall/net/Discovery.java
+++ b/router/src/main/java/ledgewall/net/Discovery.java
@@ -155,6 +155,7 @@
         @Override
         public Runnable receive(ByteBuffer bytes, long at, IoSession from) {
             boolean broken = false;
+            wiring.counters().add(Counters.Count.LIST_BYTES, bytes.remaining());
             try {
                 http.feed(bytes);
                 if (http.done()) {
--- a/router/src/main/java/ledgewall/net/EventLoop.java
+++ b/router/src/main/java/ledgewall/net/EventLoop.java
@@ -21,6 +21,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(EventLoop.class);
     /** A turn that begins this long after its first timer was due is counted as late. */
     private static final long LATE = Clock.millis(20);
+    private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final Clock clock;
     private final Counters counters;
@@ -33,6 +34,8 @@
     private Runnable catchUp = () -> { };
     private long now;
     private long timerNumber;
+    private long busy;
+    private long longestTurn;
     private volatile boolean stopped;
 
     /** Something that is to be done at a time, unless it is called off before. */
@@ -79,6 +82,11 @@
         inbox.add(task);
     }
 
+    /** The longest turn so far, in nanoseconds; of the loop's thread alone. */
+    long longestTurn() {
+        return longestTurn;
+    }
+
     /** The time of the turn in hand. */
     long now() {
         return now;
@@ -130,6 +138,19 @@
         if (!events.isEmpty()) {
             decide();
         }
+        tellLongTurn(clock.now() - now);
+    }
+
+    private void tellLongTurn(long took) {
+        busy += took;
+        counters.add(Counters.Count.BUSY_MILLIS, busy / NANOS_PER_MILLI);
+        busy %= NANOS_PER_MILLI;
+        if (took > longestTurn) {
+            longestTurn = took;
+            if (took >= LATE) {
+                LOG.debug("event=longest_turn ms={}", Clock.toMillis(took));
+            }
+        }
     }
 
     private void gather() throws InterruptedException {
--- a/router/src/main/java/ledgewall/net/HostPool.java
+++ b/router/src/main/java/ledgewall/net/HostPool.java
@@ -60,6 +60,9 @@
             return connection;
         }
         connection = new HostConnection(wiring, this::release, this::forget);
+        if (rest == 0) {
+            wiring.counters().add(Counters.Count.PROBE_CONNECTIONS);
+        }
         all.add(connection);
         connection.connect(address, exchange);
         return connection;
--- a/router/src/main/java/ledgewall/net/Members.java
+++ b/router/src/main/java/ledgewall/net/Members.java
@@ -112,6 +112,7 @@
         if (pool == null || pool.oldestIdle() == Long.MAX_VALUE) {
             return false;
         }
+        wiring.counters().add(Counters.Count.IDLE_HOSTS_CLOSED);
         pool.closeOldestIdle();
         return true;
     }
--- a/router/src/main/java/ledgewall/net/PatientAcceptor.java
+++ b/router/src/main/java/ledgewall/net/PatientAcceptor.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongConsumer;
 import org.apache.mina.core.service.IoProcessor;
 import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketAcceptor;
@@ -18,22 +19,44 @@
     private static final long PAUSE = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final BooleanSupplier mayAccept;
+    private final LongConsumer resumed;
+    private boolean paused;
+    private long pausedAt;
 
-    PatientAcceptor(IoProcessor<NioSession> processor, BooleanSupplier mayAccept) {
+    /** Tells {@code resumed} after each pause how long, in nanoseconds, a client that had connected was left waiting. */
+    PatientAcceptor(IoProcessor<NioSession> processor, BooleanSupplier mayAccept, LongConsumer resumed) {
         super(processor);
         this.mayAccept = mayAccept;
+        this.resumed = resumed;
     }
 
     @Override
     protected NioSession accept(IoProcessor<NioSession> processor, ServerSocketChannel handle) throws Exception {
         if (mayAccept.getAsBoolean()) {
             try {
-                return super.accept(processor, handle);
+                NioSession session = super.accept(processor, handle);
+                resume();
+                return session;
             } catch (IOException e) {
                 // out of descriptors all the same: as below
             }
         }
+        pause();
         LockSupport.parkNanos(PAUSE);
         return null;
     }
+
+    private void pause() {
+        if (!paused) {
+            paused = true;
+            pausedAt = System.nanoTime();
+        }
+    }
+
+    private void resume() {
+        if (paused) {
+            paused = false;
+            resumed.accept(System.nanoTime() - pausedAt);
+        }
+    }
 }
--- a/router/src/main/java/ledgewall/net/Router.java
+++ b/router/src/main/java/ledgewall/net/Router.java
@@ -42,7 +42,7 @@
     private Router(RouterConfig config, RoutingPolicy.Factory factory, Follower.Pace pace, Classifier classifier) {
         this.config = config;
         Descriptors descriptors = new Descriptors(config.sockets());
-        this.transport = new Transport(clock, loop, descriptors.forAccepting());
+        this.transport = new Transport(clock, loop, counters, descriptors.forAccepting());
         this.wiring = new Wiring(clock, loop, transport, descriptors, counters, new Held(),
             config.transport().connectTimeout(), config.transport().connIdle());
         this.members = new Members(wiring, config.vocabulary());
@@ -91,7 +91,8 @@
         thread.start();
         ready.join();
         transport.listen(config.listen(), () -> new ClientConnection(wiring, desk));
-        LOG.info("{} listens on {}, {} members known", config.name(), listening(), config.known().members().size());
+        LOG.info("{} listens on {}, {} members known, {} descriptors at most, router {} of {}", config.name(), listening(),
+            config.known().members().size(), config.sockets(), config.settings().rank(), config.settings().routers());
     }
 
     /** Where clients connect. */
@@ -183,8 +184,8 @@
             }
             config = same;
             LOG.info("{}: {}", config.name(), counters);
-            LOG.info("{}: {} descriptors held, {}, members {}", config.name(), wiring.descriptors().held(), desk.view(),
-                members.view());
+            LOG.info("{}: {} descriptors held, longest turn {} ms, {}, members {}", config.name(), wiring.descriptors().held(),
+                Clock.toMillis(loop.longestTurn()), desk.view(), members.view());
         });
     }
 
--- a/router/src/main/java/ledgewall/net/Transport.java
+++ b/router/src/main/java/ledgewall/net/Transport.java
@@ -13,9 +13,12 @@
 import org.apache.mina.core.session.IoSessionConfig;
 import org.apache.mina.transport.socket.SocketSessionConfig;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** MINA's side: one I/O processor for what is accepted and what is connected; it only parses and queues. */
 final class Transport {
+    private static final Logger LOG = LoggerFactory.getLogger(Transport.class);
     private static final String ENDPOINT = "ledgewall.endpoint";
     private static final int BACKLOG = 512;
     private static final int READ_BUFFER = 2 * 1024;
@@ -32,8 +35,12 @@
     private final PatientAcceptor acceptor;
 
     /** Accepts connections only while fewer sockets than {@code mostOpen} are open. */
-    Transport(Clock clock, EventLoop loop, int mostOpen) {
-        this.acceptor = new PatientAcceptor(processor, () -> open.get() < mostOpen);
+    Transport(Clock clock, EventLoop loop, Counters counters, int mostOpen) {
+        this.acceptor = new PatientAcceptor(processor, () -> open.get() < mostOpen, nanos -> {
+            counters.add(Counters.Count.ACCEPT_PAUSES);
+            counters.add(Counters.Count.ACCEPT_PAUSED_MILLIS, Clock.toMillis(nanos));
+            LOG.debug("event=accept_resumed paused_ms={} sockets={} most={}", Clock.toMillis(nanos), open.get(), mostOpen);
+        });
         this.clock = clock;
         this.loop = loop;
         connector.setHandler(new Handler(null));
--- a/router/src/test/java/ledgewall/net/GivingWayTest.java
+++ b/router/src/test/java/ledgewall/net/GivingWayTest.java
@@ -23,7 +23,7 @@
     private final Clock clock = Clock.ofSystem();
     private final Counters counters = new Counters();
     private final EventLoop loop = new EventLoop(clock, counters);
-    private final Transport transport = new Transport(clock, loop, 100);
+    private final Transport transport = new Transport(clock, loop, counters, 100);
     private final Wiring wiring = new Wiring(clock, loop, transport, new Descriptors(100), counters, new Held(), 0, 0);
     private final List<ClientConnection.Slot> taken = new ArrayList<>();
     private final IoSession session = new DummySession();
