--- a/router/src/test/java/ledgewall/standin/Client.java
+++ b/router/src/test/java/ledgewall/standin/Client.java
@@ -29,6 +29,11 @@
         return client;
     }
 
+    /** How long a read waits from now on. */
+    public void patience(long millis) throws IOException {
+        socket.setSoTimeout((int) millis);
+    }
+
     public void send(byte[]... parts) throws IOException {
         socket.getOutputStream().write(Wire.join(parts));
         socket.getOutputStream().flush();
