Never let connections to members keep a client's connection from being accepted

Cause: each member had two pools of its own, and nothing bounded their idle connections together. Probes opened one to each member and kept it for 27 s; they were let use all descriptors, were never closed to make room, and from there on PatientAcceptor left clients in the kernel's queue, where the kernel takes their requests. A member's share of the descriptors did not know how many members there are.

Now IdleConnections bounds what is idle, over all members, at a sixth of the descriptors; probes and requests share connections and evict idle ones before they take from the reserve; while a client waits to be accepted, the loop is asked to make room; a client that finds none, though clients hold no more than they may, gets a refusal instead of a closed connection. The walks over all members each quarter second and at each eviction are gone. The test failed before.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -39,10 +39,23 @@
     /** Who sends a request. */
     record Client(String user, String database, String address) { }
 
+    /** What becomes of a new connection. */
+    enum Admission {
+        /** Its requests are taken. */
+        SERVED,
+        /** There is no room for its requests: each is refused, and the connection ends after the first. */
+        REFUSED,
+        /** There is no room for it: clients hold all that clients may hold. */
+        CLOSED
+    }
+
     /** What takes requests in. */
     interface Owner {
-        /** Whether the connection may stay. */
-        boolean admit(ClientConnection connection);
+        /** Takes a connection in, or says that there is no room for it. */
+        Admission admit(ClientConnection connection);
+
+        /** Answers a request for which there is no room. */
+        void refuse(Slot slot);
 
         ClientRequest take(Statement statement, Slot slot, long at, Client client);
 
@@ -69,7 +82,7 @@
     private final AtomicInteger readsWaiting = new AtomicInteger();
     private IoSession session;
     private Client client = new Client("", "", "");
-    private boolean admitted;
+    private Admission admission = Admission.CLOSED;
     private boolean closed;
     private boolean skipping;
     private boolean closing;
@@ -99,6 +112,7 @@
         private byte[] message;
         private int size;
         private boolean last;
+        private boolean refused;
 
         void fill(byte[] answer) {
             message = answer;
@@ -115,8 +129,8 @@
     public void opened(IoSession opened) {
         session = opened;
         openedAt = wiring.loop().now();
-        admitted = owner.admit(this);
-        if (!admitted) {
+        admission = owner.admit(this);
+        if (admission == Admission.CLOSED) {
             close();
         }
     }
@@ -266,6 +280,11 @@
     private void query(Statement statement, long at) {
         Slot slot = new Slot();
         slots.add(slot);
+        if (admission == Admission.REFUSED) {
+            slot.refused = true;
+            owner.refuse(slot);
+            return;
+        }
         slot.size = statement.size();
         taken += slot.size;
         slot.request = owner.take(statement, slot, at, client);
@@ -328,7 +347,7 @@
             taken -= slot.size;
             unsent += slot.message.length;
             wiring.transport().write(session, slot.message);
-            closing |= closesAfterAnswer && slot.request != null;
+            closing |= closesAfterAnswer && (slot.request != null || slot.refused);
             if (slot.last) {
                 closeOnFlush();
             }
@@ -421,7 +440,7 @@
         }
         slots.clear();
         waiting.clear();
-        if (admitted) {
+        if (admission != Admission.CLOSED) {
             owner.left(this);
         }
     }
--- a/router/src/main/java/ledgewall/net/Desk.java
+++ b/router/src/main/java/ledgewall/net/Desk.java
@@ -66,24 +66,34 @@
     }
 
     @Override
-    public boolean admit(ClientConnection connection) {
+    public ClientConnection.Admission admit(ClientConnection connection) {
         if (clients.size() >= wiring.descriptors().forRequests()) {
             closeAClient();
         }
         boolean full = clients.size() >= wiring.descriptors().forClients();
-        if (full ? !closeAClient() : !wiring.descriptors().roomForTraffic() && !makeRoom()) {
+        boolean room = full ? closeAClient() : wiring.descriptors().roomForTraffic() || makeRoom();
+        if (!room) {
             wiring.counters().add(Counters.Count.CLIENTS_TURNED_AWAY);
-            LOG.debug("event=client_turned_away clients={} held={}", clients.size(), wiring.descriptors().held());
-            return false;
+            LOG.debug("event=client_turned_away full={} clients={} held={}", full, clients.size(), wiring.descriptors().held());
+        }
+        if (full && !room) {
+            return ClientConnection.Admission.CLOSED;
         }
         wiring.descriptors().take();
         wiring.counters().add(Counters.Count.CLIENTS);
         clients.add(connection);
         silent.add(connection);
-        if (draining) {
+        if (draining || !room) {
             connection.closeAfterNextAnswer();
         }
-        return true;
+        return room ? ClientConnection.Admission.SERVED : ClientConnection.Admission.REFUSED;
+    }
+
+    @Override
+    public void refuse(ClientConnection.Slot slot) {
+        wiring.counters().add(Counters.Count.REQUESTS);
+        wiring.counters().add(Counters.Count.REFUSED);
+        slot.fill(refusal(0));
     }
 
     @Override
@@ -107,7 +117,14 @@
 
     /** Frees a descriptor: the silent go first, then clients long idle, then connections to hosts. */
     private boolean makeRoom() {
-        return closeAClient() || members.closeOldestIdle();
+        return closeAClient() || wiring.idle().closeOldest();
+    }
+
+    /** Clients wait to be accepted, and too many sockets are open: what is of least use is closed. */
+    void makeRoomForClients() {
+        if (!wiring.descriptors().roomForTraffic()) {
+            makeRoom();
+        }
     }
 
     private boolean closeAClient() {
@@ -137,6 +154,9 @@
         while (clients.size() > wiring.descriptors().forRequests() && closeAClient()) {
             continue; // until they fit, or the others are all in use
         }
+        while (!wiring.descriptors().roomForTraffic() && makeRoom()) {
+            continue; // until there is room for the next, or all are in use
+        }
         ids.values().removeIf(until -> until <= now);
     }
 
@@ -258,20 +278,19 @@
         long left = request.deadline() - now;
         long timeout = send.timeout() == 0 ? left : Math.min(send.timeout(), left);
         Attempt attempt = new Attempt(request, send.member(), now, timeout, this);
-        Members.Host host = members.host(send.member());
+        HostPool host = members.host(send.member());
         boolean second = request.hasOpenAttempt() && !settings.limits().parallelTries();
         request.attempts().add(attempt);
         wiring.counters().add(Counters.Count.ATTEMPTS);
         if (request.isOver() || timeout <= 0 || second || host == null
                 || request.attempts().size() > settings.limits().maxAttempts()) {
             attempt.ended(Ending.NEVER_SENT, new Reply(), now);
-        } else if (!host.requests().hasIdle() && !wiring.descriptors().roomForTraffic()
-                && !members.closeOldestIdle() && !makeRoom()) {
+        } else if (!host.hasIdleForRequest() && !wiring.descriptors().roomForTraffic() && !makeRoom()) {
             attempt.ended(Ending.NO_DESCRIPTOR, new Reply(), now);
         } else {
             EventLoop.Timer timer = wiring.loop().in(timeout,
                 () -> attempt.giveUp(Ending.TIMED_OUT, wiring.loop().now()));
-            attempt.carriedBy(host.requests().run(attempt), timer);
+            attempt.carriedBy(host.run(attempt), timer);
         }
     }
 
--- a/router/src/main/java/ledgewall/net/HostPool.java
+++ b/router/src/main/java/ledgewall/net/HostPool.java
@@ -7,40 +7,33 @@
 import java.util.HashSet;
 import java.util.Set;
 
-/** Connections to one member. The newest idle one goes first, so that those not needed grow old and retire. */
+/**
+ * Connections to one member, for requests and probes alike. The newest idle one goes first, so that those not needed grow
+ * old; {@link IdleConnections} closes them.
+ */
 final class HostPool {
-    /** Idle connections are retired at this part of the time after which the host would close them. */
-    private static final double RETIRE_AT = 0.9;
     /**
-     * A connection rests for so long after an answer: what a host sends behind it, a second copy or noise, is seen
-     * meanwhile and ends the connection, instead of passing for the answer to the next request.
+     * A connection rests for so long before it carries a request: what a host sends behind its last answer, a second copy or
+     * noise, is seen meanwhile and ends the connection, instead of passing for the answer to the next request.
      */
     private static final long REST = Clock.millis(10);
+    /** Probes follow at once on one another, as pings do; a report taken for the next one's tells no client anything. */
+    private static final long NO_REST = 0;
+    private static final int USUAL_CONNECTIONS = 2;
 
     private final Wiring wiring;
     /** The newest first. */
-    private final Deque<HostConnection> idle = new ArrayDeque<>();
-    private final long rest;
-    private final Set<HostConnection> retiring = new HashSet<>();
-    private final Set<HostConnection> all = new HashSet<>();
+    private final Deque<HostConnection> idle = new ArrayDeque<>(USUAL_CONNECTIONS);
+    private final Set<HostConnection> retiring = new HashSet<>(USUAL_CONNECTIONS);
+    private final Set<HostConnection> all = new HashSet<>(USUAL_CONNECTIONS);
     private InetSocketAddress address;
     private long lastAnswer;
 
-    private HostPool(Wiring wiring, InetSocketAddress address, long rest) {
+    HostPool(Wiring wiring, InetSocketAddress address) {
         this.wiring = wiring;
-        this.rest = rest;
         this.address = address;
     }
 
-    static HostPool forRequests(Wiring wiring, InetSocketAddress address) {
-        return new HostPool(wiring, address, REST);
-    }
-
-    /** Probes follow at once on one another, as pings do; a report taken for the next one's tells no client anything. */
-    static HostPool forProbes(Wiring wiring, InetSocketAddress address) {
-        return new HostPool(wiring, address, 0);
-    }
-
     /** From now on connects there; connections to the address before end with what they carry. */
     void moveTo(InetSocketAddress other) {
         if (!other.equals(address)) {
@@ -50,30 +43,43 @@
         }
     }
 
-    /** Carries out an exchange on the newest rested connection or on a new one, which is returned. */
-    HostConnection run(Exchange exchange) {
-        retireOld();
-        HostConnection connection = rested();
+    /** Carries out a request on the newest rested connection or on a new one, which is returned. */
+    HostConnection run(Attempt attempt) {
+        return run(attempt, REST);
+    }
+
+    /** Carries out a probe on the newest idle connection or on a new one, which is returned. */
+    HostConnection run(Probe probe) {
+        if (!hasIdleForProbe()) {
+            wiring.counters().add(Counters.Count.PROBE_CONNECTIONS);
+        }
+        return run(probe, NO_REST);
+    }
+
+    private HostConnection run(Exchange exchange, long rest) {
+        wiring.idle().closeOld(wiring.loop().now());
+        HostConnection connection = idleFor(rest);
         if (connection != null) {
             idle.remove(connection);
+            wiring.idle().remove(connection);
             connection.start(exchange);
             return connection;
         }
         connection = new HostConnection(wiring, this::release, this::forget);
-        if (rest == 0) {
-            wiring.counters().add(Counters.Count.PROBE_CONNECTIONS);
-        }
         all.add(connection);
         connection.connect(address, exchange);
         return connection;
     }
 
-    boolean hasIdle() {
-        retireOld();
-        return rested() != null;
+    boolean hasIdleForRequest() {
+        return idleFor(REST) != null;
+    }
+
+    boolean hasIdleForProbe() {
+        return idleFor(NO_REST) != null;
     }
 
-    private HostConnection rested() {
+    private HostConnection idleFor(long rest) {
         long since = wiring.loop().now() - rest;
         for (HostConnection connection : idle) {
             if (connection.idleSince() <= since) {
@@ -108,36 +114,17 @@
             connection.close();
         } else {
             idle.addFirst(connection);
+            wiring.idle().add(connection);
         }
     }
 
     private void forget(HostConnection connection) {
         idle.remove(connection);
+        wiring.idle().remove(connection);
         retiring.remove(connection);
         all.remove(connection);
     }
 
-    /** Closes the connections that the host will soon close itself. */
-    void retireOld() {
-        if (wiring.connIdle() <= 0) {
-            return;
-        }
-        long oldest = wiring.loop().now() - (long) (RETIRE_AT * wiring.connIdle());
-        while (!idle.isEmpty() && idle.peekLast().idleSince() <= oldest) {
-            wiring.counters().add(Counters.Count.RETIRED);
-            idle.peekLast().close();
-        }
-    }
-
-    /** When its oldest idle connection became idle. */
-    long oldestIdle() {
-        return idle.isEmpty() ? Long.MAX_VALUE : idle.peekLast().idleSince();
-    }
-
-    void closeOldestIdle() {
-        idle.peekLast().close();
-    }
-
     void closeIdle() {
         new ArrayList<>(idle).forEach(HostConnection::close);
     }
--- a/router/src/main/java/ledgewall/net/Members.java
+++ b/router/src/main/java/ledgewall/net/Members.java
@@ -1,10 +1,11 @@
 package ledgewall.net;
 
 import java.net.InetSocketAddress;
-import java.util.Comparator;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -21,15 +22,12 @@
     private final Wiring wiring;
     private final Names zones;
     private final Names kinds;
-    private final Map<String, Host> hosts = new LinkedHashMap<>();
+    private final Map<String, HostPool> hosts = new LinkedHashMap<>();
     /** Members that the policy has done with; each leaves with its last connection, or when it is listed again. */
-    private final Map<String, Host> forgotten = new HashMap<>();
+    private final Map<String, HostPool> forgotten = new HashMap<>();
     /** Groups that lists have named: as many as the deployment has. */
     private final Set<Long> groups = new HashSet<>();
 
-    /** Connections for requests and those for probes, which never wait for one another. */
-    record Host(HostPool requests, HostPool probes) { }
-
     Members(Wiring wiring, Vocabulary vocabulary) {
         this.wiring = wiring;
         this.zones = new Names(vocabulary.zones());
@@ -37,7 +35,7 @@
     }
 
     /** The member's connections, or null if it was never listed. */
-    Host host(String id) {
+    HostPool host(String id) {
         return hosts.get(id);
     }
 
@@ -53,7 +51,7 @@
             Set<String> listed = update.members().stream().map(Member::id).collect(Collectors.toSet());
             hosts.forEach((id, host) -> {
                 if (!listed.contains(id)) {
-                    closeIdle(host);
+                    host.closeIdle();
                 }
             });
         }
@@ -61,10 +59,10 @@
     }
 
     private void place(Member member) {
-        Host host = hosts.get(member.id());
+        HostPool host = hosts.get(member.id());
         if (member.phase() == Member.Phase.GONE) {
             if (host != null) {
-                closeIdle(host);
+                host.closeIdle();
             }
             return;
         }
@@ -72,10 +70,9 @@
         groups.add(member.cell());
         InetSocketAddress address = RouterConfig.address("discovery", member.id(), member.address());
         if (host == null) {
-            hosts.put(member.id(), new Host(HostPool.forRequests(wiring, address), HostPool.forProbes(wiring, address)));
+            hosts.put(member.id(), new HostPool(wiring, address));
         } else {
-            host.requests().moveTo(address);
-            host.probes().moveTo(address);
+            host.moveTo(address);
         }
     }
 
@@ -100,42 +97,31 @@
             phase, member.size(), member.primary(), Clock.ofUnixMillis(member.upSinceMillis()));
     }
 
-    private static void closeIdle(Host host) {
-        host.requests().closeIdle();
-        host.probes().closeIdle();
-    }
-
-    /** Gives up the connection that has been idle for longest, of any member; false if there is none. */
-    boolean closeOldestIdle() {
-        HostPool pool = hosts.values().stream().map(Host::requests)
-            .min(Comparator.comparingLong(HostPool::oldestIdle)).orElse(null);
-        if (pool == null || pool.oldestIdle() == Long.MAX_VALUE) {
-            return false;
-        }
-        wiring.counters().add(Counters.Count.IDLE_HOSTS_CLOSED);
-        pool.closeOldestIdle();
-        return true;
-    }
-
     /** The policy has done with a member: it goes once nothing of it is open, unless a list names it again. */
     void forget(String id) {
-        Host host = hosts.get(id);
+        HostPool host = hosts.get(id);
         if (host != null) {
-            closeIdle(host);
+            host.closeIdle();
             forgotten.put(id, host);
         }
     }
 
-    /** What is open to each member now, and how long ago it last answered a probe: the router's side of the sockets. */
+    /**
+     * What is open to each member that anything is open to, and how long ago it last answered a request or a probe: the
+     * router's side of the sockets.
+     */
     String view() {
         long now = wiring.loop().now();
-        return hosts.entrySet().stream().map(entry -> {
-            Host host = entry.getValue();
-            long probed = host.probes().lastAnswer();
-            return entry.getKey() + ": " + host.requests().busy() + " in flight, " + host.requests().idle() + " idle, "
-                + (probed == 0 ? "no probe answered" : "probe answered " + Clock.toMillis(now - probed) + " ms ago")
-                + (forgotten.containsKey(entry.getKey()) ? ", gone" : "");
-        }).collect(Collectors.joining("; "));
+        List<String> open = new ArrayList<>();
+        hosts.forEach((id, host) -> {
+            if (!host.isEmpty()) {
+                String answered = host.lastAnswer() == 0 ? "none answered yet"
+                    : "answered " + Clock.toMillis(now - host.lastAnswer()) + " ms ago";
+                open.add(id + ": " + host.busy() + " in flight, " + host.idle() + " idle, " + answered
+                    + (forgotten.containsKey(id) ? ", gone" : ""));
+            }
+        });
+        return hosts.size() + " known, " + open.size() + " with connections: " + String.join("; ", open);
     }
 
     /** Members known, those that are being forgotten included. */
@@ -143,21 +129,13 @@
         return hosts.size();
     }
 
-    void retireOld() {
-        forgotten.entrySet().removeIf(entry -> {
-            boolean over = entry.getValue().requests().isEmpty() && entry.getValue().probes().isEmpty();
-            return over && hosts.remove(entry.getKey(), entry.getValue());
-        });
-        hosts.values().forEach(host -> {
-            host.requests().retireOld();
-            host.probes().retireOld();
-        });
+    /** Forgets the members of which nothing is open any more, and closes connections that have been idle for long. */
+    void sweep() {
+        forgotten.entrySet().removeIf(entry -> entry.getValue().isEmpty() && hosts.remove(entry.getKey(), entry.getValue()));
+        wiring.idle().closeOld(wiring.loop().now());
     }
 
     void closeAll() {
-        hosts.values().forEach(host -> {
-            host.requests().closeAll();
-            host.probes().closeAll();
-        });
+        hosts.values().forEach(HostPool::closeAll);
     }
 }
--- a/router/src/main/java/ledgewall/net/PatientAcceptor.java
+++ b/router/src/main/java/ledgewall/net/PatientAcceptor.java
@@ -20,14 +20,19 @@
 
     private final BooleanSupplier mayAccept;
     private final LongConsumer resumed;
+    private final Runnable waiting;
     private boolean paused;
     private long pausedAt;
 
-    /** Tells {@code resumed} after each pause how long, in nanoseconds, a client that had connected was left waiting. */
-    PatientAcceptor(IoProcessor<NioSession> processor, BooleanSupplier mayAccept, LongConsumer resumed) {
+    /**
+     * Runs {@code waiting} each time that a client has to wait, and tells {@code resumed} after each pause how long it was,
+     * in nanoseconds; both on the acceptor's thread.
+     */
+    PatientAcceptor(IoProcessor<NioSession> processor, BooleanSupplier mayAccept, Runnable waiting, LongConsumer resumed) {
         super(processor);
         this.mayAccept = mayAccept;
         this.resumed = resumed;
+        this.waiting = waiting;
     }
 
     @Override
@@ -42,6 +47,7 @@
             }
         }
         pause();
+        waiting.run();
         LockSupport.parkNanos(PAUSE);
         return null;
     }
--- a/router/src/main/java/ledgewall/net/Probe.java
+++ b/router/src/main/java/ledgewall/net/Probe.java
@@ -8,7 +8,7 @@
 import ledgewall.pg.SqlState;
 
 /**
- * One probe of a member, on a connection that requests do not use. Its time runs from the write of its query to
+ * One probe of a member, on a connection that no request uses meanwhile. Its time runs from the write of its query to
  * the reading of its answer by the I/O thread, so neither connecting nor a late loop counts.
  */
 final class Probe implements Exchange {
@@ -32,7 +32,7 @@
 
     void start(HostPool pool) {
         wiring.counters().add(Counters.Count.PROBES);
-        if (!pool.hasIdle() && !wiring.descriptors().room()) {
+        if (!pool.hasIdleForProbe() && !wiring.descriptors().roomForTraffic() && !wiring.idle().closeOldest()) {
             ended(Ending.NO_DESCRIPTOR, new Reply(), wiring.loop().now());
             return;
         }
--- a/router/src/main/java/ledgewall/net/Router.java
+++ b/router/src/main/java/ledgewall/net/Router.java
@@ -44,12 +44,14 @@
         Descriptors descriptors = new Descriptors(config.sockets());
         this.transport = new Transport(clock, loop, counters, descriptors.forAccepting());
         this.wiring = new Wiring(clock, loop, transport, descriptors, counters, new Held(),
-            config.transport().connectTimeout(), config.transport().connIdle());
+            new IdleConnections(counters, descriptors.forIdleHosts(), config.transport().connIdle()),
+            config.transport().connectTimeout());
         this.members = new Members(wiring, config.vocabulary());
         this.desk = new Desk(wiring, config, members, classifier);
         this.discovery = new Discovery(wiring, config, members, pace);
         this.peers = new Peers(wiring, config);
         loop.catchUpBy(transport::catchUp);
+        transport.whenShort(desk::makeRoomForClients);
         loop.decideBy(factory.create(config.settings(), config.seed()), this::carryOut);
     }
 
@@ -151,21 +153,21 @@
     }
 
     private void probe(String member) {
-        Members.Host host = members.host(member);
+        HostPool host = members.host(member);
         if (host != null) {
-            new Probe(wiring, member, config.transport().reports()).start(host.probes());
+            new Probe(wiring, member, config.transport().reports()).start(host);
         }
     }
 
     private void disconnect(String member) {
-        Members.Host host = members.host(member);
+        HostPool host = members.host(member);
         if (host != null) {
-            host.requests().closeIdle();
+            host.closeIdle();
         }
     }
 
     private void sweep() {
-        members.retireOld();
+        members.sweep();
         desk.sweep();
         loop.in(SWEEP, this::sweep);
     }
--- a/router/src/main/java/ledgewall/net/Transport.java
+++ b/router/src/main/java/ledgewall/net/Transport.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.apache.mina.core.buffer.IoBuffer;
@@ -33,10 +34,12 @@
     /** Sockets that are open, whether the loop knows of them yet or still. */
     private final AtomicInteger open = new AtomicInteger();
     private final PatientAcceptor acceptor;
+    private final AtomicBoolean shortTold = new AtomicBoolean();
+    private volatile Runnable whenShort = () -> { };
 
     /** Accepts connections only while fewer sockets than {@code mostOpen} are open. */
     Transport(Clock clock, EventLoop loop, Counters counters, int mostOpen) {
-        this.acceptor = new PatientAcceptor(processor, () -> open.get() < mostOpen, nanos -> {
+        this.acceptor = new PatientAcceptor(processor, () -> open.get() < mostOpen, this::tellShort, nanos -> {
             counters.add(Counters.Count.ACCEPT_PAUSES);
             counters.add(Counters.Count.ACCEPT_PAUSED_MILLIS, Clock.toMillis(nanos));
             LOG.debug("event=accept_resumed paused_ms={} sockets={} most={}", Clock.toMillis(nanos), open.get(), mostOpen);
@@ -57,6 +60,20 @@
         ((SocketSessionConfig) config).setTcpNoDelay(true);
     }
 
+    /** Says what is to be done while clients wait to be accepted; before connections are accepted. */
+    void whenShort(Runnable task) {
+        whenShort = task;
+    }
+
+    private void tellShort() {
+        if (shortTold.compareAndSet(false, true)) {
+            loop.post(() -> {
+                shortTold.set(false);
+                whenShort.run();
+            });
+        }
+    }
+
     /** Accepts connections from now on; each gets an endpoint of its own. */
     void listen(InetSocketAddress address, Supplier<Endpoint> endpoints) throws IOException {
         acceptor.setHandler(new Handler(endpoints));
--- a/router/src/test/java/ledgewall/fleet/ClientCrowd.java
+++ b/router/src/test/java/ledgewall/fleet/ClientCrowd.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.SocketException;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedDeque;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
@@ -10,7 +12,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
-import java.util.SplittableRandom;
 import ledgewall.standin.Client;
 import ledgewall.standin.Wire;
 
@@ -19,6 +20,7 @@
     /** A client waits so long after its request's time for the final answer that it is owed. */
     private static final long PATIENCE_MS = 550;
     private static final int MOST_KEPT = 16;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final InetSocketAddress router;
     private final int groups;
@@ -57,27 +59,46 @@
     private void ask(boolean fresh, String className, int group, int waitMs) {
         String id = "q" + asked.incrementAndGet();
         long begun = System.nanoTime();
+        Client kept = fresh ? null : free.poll();
+        byte[] query = Wire.query("/* id=" + id + ",c=" + className + ",t=acme,d=" + waitMs + ",cluster=" + group
+            + " */ SELECT data FROM facts WHERE code = 'k1'");
         try {
-            Client kept = fresh ? null : free.poll();
-            Client client = kept == null ? new Client(router) : kept;
-            client.patience(waitMs + PATIENCE_MS);
-            byte[] query = Wire.query("/* id=" + id + ",c=" + className + ",t=acme,d=" + waitMs + ",cluster=" + group
-                + " */ SELECT data FROM facts WHERE code = 'k1'");
-            client.send(kept == null ? Wire.startup("user", "u", "database", "d") : new byte[0], query);
-            if (kept == null) {
-                client.untilReady();
-            }
-            if (client.types().contains("D")) {
-                served.incrementAndGet();
+            boolean answered = kept != null && answered(kept, waitMs, query);
+            if (!answered && !answered(connect(), waitMs, query)) {
+                throw new IOException("closed without an answer");
             }
-            if (free.size() < MOST_KEPT) {
-                free.push(client);
-            } else {
+        } catch (IOException e) {
+            lost.add(id + " of group " + group + " after " + (System.nanoTime() - begun) / NANOS_PER_MILLI + " ms: " + e);
+        }
+    }
+
+    private Client connect() throws IOException {
+        Client client = new Client(router);
+        client.send(Wire.startup("user", "u", "database", "d"));
+        return client;
+    }
+
+    /** Whether the router answers; it may have ended a connection that rested, and a client then asks on a new one. */
+    private boolean answered(Client client, int waitMs, byte[] query) throws IOException {
+        client.patience(waitMs + PATIENCE_MS);
+        try {
+            client.send(query);
+            String types = client.typesOfAnswer();
+            if (types.isEmpty()) {
                 client.close();
+                return false;
             }
-        } catch (IOException | RuntimeException e) {
-            lost.add(id + " of group " + group + " after " + (System.nanoTime() - begun) / 1_000_000 + " ms: " + e);
+            served.addAndGet(types.contains("D") ? 1 : 0);
+        } catch (SocketException e) {
+            client.close();
+            return false;
+        }
+        if (free.size() < MOST_KEPT) {
+            free.push(client);
+        } else {
+            client.close();
         }
+        return true;
     }
 
     int asked() {
--- a/router/src/test/java/ledgewall/net/GivingWayTest.java
+++ b/router/src/test/java/ledgewall/net/GivingWayTest.java
@@ -24,14 +24,20 @@
     private final Counters counters = new Counters();
     private final EventLoop loop = new EventLoop(clock, counters);
     private final Transport transport = new Transport(clock, loop, counters, 100);
-    private final Wiring wiring = new Wiring(clock, loop, transport, new Descriptors(100), counters, new Held(), 0, 0);
+    private final Wiring wiring = new Wiring(clock, loop, transport, new Descriptors(100), counters, new Held(),
+        new IdleConnections(counters, 100, 0), 0);
     private final List<ClientConnection.Slot> taken = new ArrayList<>();
     private final IoSession session = new DummySession();
     private boolean left;
     private final ClientConnection connection = new ClientConnection(wiring, new ClientConnection.Owner() {
         @Override
-        public boolean admit(ClientConnection client) {
-            return true;
+        public void refuse(ClientConnection.Slot slot) {
+            throw new AssertionError("there is room");
+        }
+
+        @Override
+        public ClientConnection.Admission admit(ClientConnection client) {
+            return ClientConnection.Admission.SERVED;
         }
 
         @Override
--- a/router/src/test/java/ledgewall/standin/Client.java
+++ b/router/src/test/java/ledgewall/standin/Client.java
@@ -57,6 +57,20 @@
         return messages;
     }
 
+    /** The types of all messages of a query's answer, past a welcome that comes first; empty where the router ends before. */
+    public String typesOfAnswer() throws IOException {
+        StringBuilder types = new StringBuilder();
+        boolean answer = false;
+        for (Message message = read(); message != null; message = read()) {
+            answer |= "TDCEI".indexOf(message.type()) >= 0;
+            types.append(answer ? "" + message.type() : "");
+            if (answer && (message.type() == 'Z' || message.type() == 'E' && "FATAL".equals(message.field('S')))) {
+                return types.toString();
+            }
+        }
+        return "";
+    }
+
     /** The types of all messages up to ReadyForQuery, without it. */
     public String types() throws IOException {
         StringBuilder types = new StringBuilder();
