Read lists as their bytes come, ask for whole ones by size, wait for large ones

Cause: one answer was gathered into one line and parsed in one go, a line had a fixed time whatever its size, and every fifth check asked for the whole list. Checked: the classes before, given an indented list, answer 'no JSON' to its first line.

ListReader parses pieces as the I/O thread reads them, over as many lines as there are; a list in progress may take as long as 32 KB of it come each 4 s; whole lists are asked for at 4 KB a second in the mean, as before with 60 members, each 150 s with 3,200; a check that is answered with a whole list puts the next one off. The line cutter remains for the tests of the HTTP reader.

The size of what came is a new parameter of heard() in FollowerTest; no bound there changes.

--- a/router/src/main/java/ledgewall/discovery/Follower.java
+++ b/router/src/main/java/ledgewall/discovery/Follower.java
@@ -24,14 +24,21 @@
     private static final long QUIET = 1_000 * MS;
     /** A watch tells something every 2 s; half as long again without a byte is silence. */
     private static final long SILENCE = 3_000 * MS;
-    /** A line that has begun is whole by then, however steadily it drips. */
-    private static final long LONGEST_LINE = 4_000 * MS;
+    /** By then something that has begun is whole, or so much more of it has come: a large list takes longer, a drip ends. */
+    private static final long LONGEST_STEP = 4_000 * MS;
+    private static final int LEAST_STEP_BYTES = 32 * 1024;
     /** How long a watch at the address before is kept where the one at the new address says nothing yet. */
     private static final long LONGEST_MOVE = 5_000 * MS;
     private static final long FIRST_GAP = 100 * MS;
     private static final long LONGEST_GAP = 500 * MS;
-    /** Of so many checks one asks for the whole list, which also shows what no revision tells. */
+    /** The whole list, which also shows what no revision tells, is asked for after so many checks at the earliest. */
     private static final int WHOLE_EVERY = 5;
+    /** Bytes a second that whole lists may come to in the mean, and bytes of one entry, about. */
+    private static final long WHOLE_BYTES_PER_SECOND = 4_096;
+    private static final long ENTRY_BYTES = 192;
+    private static final long SECOND = 1_000 * MS;
+    /** Checks that are answered with the whole list come no further apart: a watch may have fallen silent. */
+    private static final long LONGEST_CHECK_GAP = 4_000 * MS;
 
     /** Why discovery is asked. */
     public enum Purpose {
@@ -59,6 +66,7 @@
         private long seen;
         private long byteAt;
         private long owedSince;
+        private int owedBytes;
         private boolean told;
         private final String target;
 
@@ -92,7 +100,7 @@
             if (owedSince == NEVER) {
                 return byteAt + SILENCE;
             }
-            return Math.min(byteAt + QUIET, owedSince + LONGEST_LINE);
+            return Math.min(byteAt + QUIET, owedSince + LONGEST_STEP);
         }
     }
 
@@ -124,6 +132,7 @@
     private long watchAt = NEVER;
     private long checkAt = NEVER;
     private int checks;
+    private long wholeAt = Long.MIN_VALUE;
     private Call watch;
     private Call before;
     private long moveEnds;
@@ -147,6 +156,7 @@
 
     /** Begins to follow, where that is discovery's way. */
     public List<Step> start(long now) {
+        wholeAt = now + wholeGap();
         if (!onlyWhenAsked) {
             watch(now);
         }
@@ -190,13 +200,17 @@
     /**
      * Bytes of a call's answer have come.
      *
-     * @param lines whether a line has become whole, be it an empty one
-     * @param owed whether its head or a line that has begun is not whole yet
+     * @param whole whether a list has become whole
+     * @param owed whether its head or a list that has begun is not whole yet
+     * @param bytes how many have come
      */
-    public List<Step> heard(Call call, boolean lines, boolean owed, long now) {
+    public List<Step> heard(Call call, boolean whole, boolean owed, int bytes, long now) {
         if (open.contains(call)) {
             call.byteAt = now;
-            call.owedSince = !owed ? NEVER : lines ? now : Math.min(call.owedSince, now);
+            call.owedBytes += bytes;
+            boolean step = whole || call.owedBytes >= LEAST_STEP_BYTES;
+            call.owedBytes = step ? 0 : call.owedBytes;
+            call.owedSince = !owed ? NEVER : step ? now : Math.min(call.owedSince, now);
         }
         return taken();
     }
@@ -288,6 +302,9 @@
     }
 
     private void whole(Call call, ListUpdate update, boolean back, long now) {
+        if (call.purpose == Purpose.CHECK && checkAt != NEVER) {
+            checkAt = Math.max(checkAt, now + Math.min(LONGEST_CHECK_GAP, wholeGap()));
+        }
         if (anew && call.purpose == Purpose.WHOLE) {
             anew = false;
             learn(update, call);
@@ -372,7 +389,15 @@
         if (watch != null && watch.seen < checkedRevision) {
             restartWatch(now); // a check told it a whole period ago, and the watch still has not
         }
-        open(checks % WHOLE_EVERY == 0 ? Purpose.WHOLE : Purpose.CHECK, now);
+        boolean whole = checks >= WHOLE_EVERY && now >= wholeAt;
+        checks = whole ? 0 : checks;
+        wholeAt = whole ? now + wholeGap() : wholeAt;
+        open(whole ? Purpose.WHOLE : Purpose.CHECK, now);
+    }
+
+    /** Time in which a whole list may be asked for once: the longer, the more members it has. */
+    private long wholeGap() {
+        return known.size() * ENTRY_BYTES * SECOND / WHOLE_BYTES_PER_SECOND;
     }
 
     private Call open(Purpose purpose, long now) {
--- a/router/src/main/java/ledgewall/discovery/ListParser.java
+++ b/router/src/main/java/ledgewall/discovery/ListParser.java
@@ -1,38 +1,27 @@
 package ledgewall.discovery;
 
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.core.StreamReadConstraints;
-import java.io.IOException;
 import java.util.List;
 import ledgewall.settings.Fields;
 import ledgewall.settings.FormatException;
 
 /** Reads lists and changes from JSON. */
 public final class ListParser {
-    /** A list nests three levels; what nests deeper than this is none, and would cost stack to read. */
-    private static final int DEEPEST = 16;
-    private static final JsonFactory JSON = JsonFactory.builder()
-        .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(DEEPEST).build()).build();
+    /** A number that ends the text is whole only once something follows it. */
+    private static final byte[] END = {'\n'};
 
     private ListParser() {
     }
 
     /** Reads one object of discovery's; anything else is a {@link FormatException}. */
     public static ListUpdate parse(byte[] bytes) {
-        try (JsonParser parser = JSON.createParser(bytes)) {
-            if (parser.nextToken() != JsonToken.START_OBJECT) {
-                throw new FormatException("discovery: no JSON object");
-            }
-            ListUpdate update = read(Fields.read(parser, "discovery"));
-            if (parser.nextToken() != null) {
-                throw new FormatException("discovery: more than one value");
-            }
-            return update;
-        } catch (IOException e) {
-            throw new FormatException("discovery: no JSON");
+        ListReader reader = new ListReader();
+        reader.body(bytes, 0, bytes.length);
+        reader.body(END, 0, END.length);
+        List<ListUpdate> updates = reader.take();
+        if (updates.size() != 1 || reader.isPartial()) {
+            throw new FormatException("discovery: not one JSON object");
         }
+        return updates.get(0);
     }
 
     /** Reads a list that has been read as an object already. */
@@ -44,7 +33,7 @@
         return new ListUpdate(fields.integer("revision"), fields.flag("complete", false), members);
     }
 
-    private static Member member(Fields entry) {
+    static Member member(Fields entry) {
         String phase = entry.text("phase", "Ready");
         return new Member(entry.text("id"), entry.text("host_port", ""), entry.text("locality", ""),
             entry.text("flavor", ""), entry.integer("cell", 0), phase(entry, phase), entry.decimal("size", 1.0),
--- a/router/src/main/java/ledgewall/net/Discovery.java
+++ b/router/src/main/java/ledgewall/net/Discovery.java
@@ -12,8 +12,7 @@
 import ledgewall.discovery.Follower;
 import ledgewall.discovery.HttpException;
 import ledgewall.discovery.HttpReader;
-import ledgewall.discovery.LineCutter;
-import ledgewall.discovery.ListParser;
+import ledgewall.discovery.ListReader;
 import ledgewall.discovery.ListUpdate;
 import ledgewall.settings.FormatException;
 import org.apache.mina.core.future.ConnectFuture;
@@ -117,9 +116,8 @@
     /** The connection that one call has to itself. */
     private final class Connection implements Endpoint {
         private final Follower.Call call;
-        private final List<byte[]> lines = new ArrayList<>();
-        private final LineCutter cutter = new LineCutter(lines::add);
-        private final HttpReader http = new HttpReader(cutter);
+        private final ListReader list = new ListReader();
+        private final HttpReader http = new HttpReader(list);
         private ConnectFuture connecting;
         private IoSession session;
         private boolean over;
@@ -154,49 +152,48 @@
 
         @Override
         public Runnable receive(ByteBuffer bytes, long at, IoSession from) {
-            boolean broken = false;
-            wiring.counters().add(Counters.Count.LIST_BYTES, bytes.remaining());
+            int size = bytes.remaining();
+            wiring.counters().add(Counters.Count.LIST_BYTES, size);
+            boolean bad = !read(bytes) || http.done() && list.isPartial();
+            List<ListUpdate> updates = new ArrayList<>();
+            bad |= !check(list.take(), updates);
+            boolean whole = !updates.isEmpty();
+            boolean owed = !http.headDone() || list.isPartial();
+            boolean broken = bad;
+            boolean last = bad || http.done();
+            return () -> take(updates, whole, owed, size, broken, last);
+        }
+
+        /** Reads what has come; false if any of it is no list: nothing behind it is taken. */
+        private boolean read(ByteBuffer bytes) {
             try {
                 http.feed(bytes);
-                if (http.done()) {
-                    cutter.finish();
-                }
-            } catch (HttpException e) {
-                broken = true;
+                return true;
+            } catch (HttpException | FormatException e) {
                 LOG.debug("discovery: {}", e.getMessage()); // counted: a bad one may be asked without end
+                return false;
             }
-            boolean whole = !lines.isEmpty();
-            boolean owed = !http.headDone() || cutter.holds() > 0;
-            List<ListUpdate> updates = new ArrayList<>();
-            boolean bad = broken | !parse(updates);
-            boolean last = bad || http.done();
-            return () -> take(updates, whole, owed, bad, last);
         }
 
-        /** Parses what lines there are; false if one of them is no list: it and all after it are dropped. */
-        private boolean parse(List<ListUpdate> updates) {
+        /** Passes on the lists up to the first that cannot be taken in; false if there is one. */
+        private static boolean check(List<ListUpdate> all, List<ListUpdate> good) {
             try {
-                for (byte[] line : lines) {
-                    if (!new String(line, StandardCharsets.UTF_8).isBlank()) {
-                        ListUpdate update = ListParser.parse(line);
-                        Members.check(update);
-                        updates.add(update);
-                    }
+                for (ListUpdate update : all) {
+                    Members.check(update);
+                    good.add(update);
                 }
                 return true;
             } catch (FormatException e) {
                 LOG.debug("{}", e.getMessage());
                 return false;
-            } finally {
-                lines.clear();
             }
         }
 
-        private void take(List<ListUpdate> updates, boolean whole, boolean owed, boolean bad, boolean last) {
+        private void take(List<ListUpdate> updates, boolean whole, boolean owed, int size, boolean bad, boolean last) {
             if (over) {
                 return;
             }
-            carryOut(follower.heard(call, whole, owed, now()));
+            carryOut(follower.heard(call, whole, owed, size, now()));
             for (ListUpdate update : updates) {
                 carryOut(follower.told(call, update, now()));
             }
--- a/router/src/test/java/ledgewall/discovery/FollowerTest.java
+++ b/router/src/test/java/ledgewall/discovery/FollowerTest.java
@@ -155,7 +155,7 @@
             tell(line, discoveries.get(line.call.address()).since(line.sent), mood);
         } else if (!line.first && mood != Mood.SILENT && now >= line.spokeAt + BLANK_EVERY) {
             line.spokeAt = now;
-            carryOut(follower.heard(line.call, true, false, now));
+            carryOut(follower.heard(line.call, true, false, 1, now));
         }
     }
 
@@ -164,10 +164,10 @@
         line.sent = update.revision();
         if (mood == Mood.HALF && line.call.purpose() == Purpose.WATCH) {
             line.lost = true; // a line's beginning, and then nothing
-            carryOut(follower.heard(line.call, false, true, now));
+            carryOut(follower.heard(line.call, false, true, 1, now));
             return;
         }
-        carryOut(follower.heard(line.call, true, false, now));
+        carryOut(follower.heard(line.call, true, false, 1, now));
         if (lines.containsKey(line.call)) {
             carryOut(follower.told(line.call, update, now));
         }
@@ -284,7 +284,7 @@
         watch.lost = true;
         long end = now + 4_000 * MS;
         while (now <= end) {
-            carryOut(follower.heard(watch.call, false, true, now));
+            carryOut(follower.heard(watch.call, false, true, 1, now));
             run(100 * MS);
         }
         run(200 * MS);
@@ -429,4 +429,48 @@
             }
         }
     }
+
+    private static Follower ofMembers(int members) {
+        List<Member> list = new ArrayList<>();
+        for (int i = 0; i < members; i++) {
+            list.add(member("m" + i, Phase.READY));
+        }
+        Follower follower = new Follower(HERE, new ListUpdate(41, true, list), false, Pace.USUAL);
+        follower.start(0);
+        return follower;
+    }
+
+    /** Whole lists that are asked for in that time while nothing changes and each call is closed in time. */
+    private static long wholeLists(int members, long span) {
+        Follower follower = ofMembers(members);
+        long asked = 0;
+        for (long now = 0; now < span; now += STEP) {
+            asked += follower.tick(now).stream()
+                .filter(s -> s instanceof Follower.Open open && open.call().purpose() == Purpose.WHOLE).count();
+        }
+        return asked;
+    }
+
+    @Test
+    void bytesOfWholeListsHardlyGrowWithTheNumberOfMembers() {
+        long span = 600_000 * MS;
+        long entry = 192;
+        long usual = wholeLists(60, span) * 60 * entry;
+        long many = wholeLists(3_200, span) * 3_200 * entry;
+        assertTrue(usual > 0 && many > 0);
+        assertTrue(many <= 2 * usual + 64_000 + 500_000 * 3.2, many + " bytes, " + usual + " of sixty members");
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {100, 64 * 1024})
+    void aLargeListThatComesSlowlyIsAwaitedAndADripIsNot(int bytesPerHalfSecond) {
+        Follower slow = new Follower(HERE, new ListUpdate(41, true, List.of()), false, Pace.UNCHECKED);
+        Follower.Call watch = ((Follower.Open) slow.start(0).get(0)).call();
+        boolean closed = false;
+        for (long now = 0; now < 10_000 * MS; now += 500 * MS) {
+            slow.heard(watch, false, true, bytesPerHalfSecond, now);
+            closed |= slow.tick(now).stream().anyMatch(s -> s instanceof Follower.Close close && close.call() == watch);
+        }
+        assertEquals(bytesPerHalfSecond < 1_000, closed);
+    }
 }
