Probe, tell and decide in proportion to requests, not to the number of members

Cause, one class: work in proportion to the fleet where the traffic needs a small part of it. Each turn walked all groups, each tick all members and once more for each kind; each member was probed in rounds, asked for or not; a failed probe began the next at once; each finding was told to all routers; a group without a primary had all its members probed by every request.

Now only groups with held requests are looked at in a turn; silence is watched at members with attempts out; rounds, urgent probes and warm-ups stand in due queues; rounds that no request asks for are a share of 40 a second of the fleet, other probes a quarter of the requests; probes that fail back off; findings are a share of 40 a second, changes of a primary first; the search for a primary asks one member after the other; reads of groups asked rarely prefer a member in contact; a bounded read may try a replica of which nothing is known where members refuse stale reads themselves.

Decisions move out of Brain (1,000 lines) into ProbeScheduler, Freshness, SlowStart, MachineKind and the records Member, Group, Request, Attempt.

--- a/core/src/main/java/ledgewall/Brain.java
+++ b/core/src/main/java/ledgewall/Brain.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -23,19 +24,12 @@
     private static final long MS = 1_000_000L;
     private static final long SECOND = 1_000 * MS;
 
-    /** The post's period and number of pings. */
-    private static final long PROBE_PERIOD = 5 * SECOND;
-    private static final int PINGS = 3;
     /** Ping differences below this part of a read's usual time are not felt by its client. */
     private static final double PING_MARGIN = 0.125;
     /** A member whose expected delay is over this multiple of the best's is crowded or slow, not unlucky. */
     private static final double CROWDED = 1.5;
-    /** Part of a bound from which a lag is near it, probed anew, and below which it is taken to hold on. */
-    private static final double NEAR_BOUND = 0.33;
-    /** A handful of routers probe each for themselves, as in the post; more share the probes of one. */
-    private static final int HANDFUL = 4;
-    /** Gap between urgent probes of one member: some a second, few against its reads. */
-    private static final long URGENT_GAP = 250 * MS;
+    /** A member that was in contact so lately has an idle connection left, as far as hosts keep them. */
+    private static final long CONNECTION_KEPT = 20 * SECOND;
     /** Silence worth this many expected answers is a fault: work has long tails. */
     private static final double SILENCE = 20;
     /** A timer later than this tells of a pause of the router itself: many ticks, far less than an aim. */
@@ -68,15 +62,6 @@
     private static final double FRESH_HOLD = 0.1;
     /** Part of its aim that a read may be held: long enough for a burst to pass. */
     private static final double HOLD_PART = 0.05;
-    /** A listed role is taken for evidence this old: about as late as lists are. */
-    private static final long LIST_AGE = 5 * SECOND;
-    /** Part of a cold member's budget that is spent (the rest is for chance); the time of served rates. */
-    private static final double BUDGET_PART = 0.7;
-    private static final double RATE_TIME = 4 * SECOND;
-    /** Sends in a window that a cold member gets of all routers even when nothing is known of its size. */
-    private static final double LEAST_BUDGET = 6;
-    /** The golden section: turns that follow it are spread evenly over routers and over time. */
-    private static final double TURN = 0.618034;
     /** Sessions whose last write is remembered: some megabytes at most. */
     private static final int MOST_SESSIONS = 20_000;
     /** First wait before asking for the list again after a failure; the rule gives the longest. */
@@ -84,105 +69,42 @@
     /** Outcomes that only a member that answers can bring. */
     private static final List<Result> SAID = List.of(Result.OK, Result.MISSED, Result.REJECTED, Result.ERROR);
 
-    /** What is known of one member: listing, newest evidence, health, own attempts. */
-    private final class Member {
-        final String id;
-        final Group group;
-        int zone;
-        Kind kind;
-        Phase phase;
-        long born, downAt, failedAt = Long.MIN_VALUE, returnedAt = Long.MIN_VALUE / 2;
-        Role role = Role.UNKNOWN;
-        long roleAt = Long.MIN_VALUE, position = Long.MIN_VALUE / 2, positionAt = Long.MIN_VALUE / 2;
-        boolean probing, down, refused;
-        double ping;
-        int pingsLeft;
-        long probedAt = Long.MIN_VALUE / 2, urgentDue = Long.MIN_VALUE;
-        long roundDue = shared ? now + random.nextLong(PROBE_PERIOD) : now;
-        long suspectSince = NONE, trialAt = Long.MIN_VALUE, stepDue = Long.MIN_VALUE;
-        long answeredAt = Long.MIN_VALUE, sampledAt = Long.MIN_VALUE / 2, sentAt = Long.MIN_VALUE / 2;
-        double strain = FIRST_STRAIN, servedRate, window;
-        final List<Attempt> open = new ArrayList<>();
-        final List<Spent> spent = new ArrayList<>();
-
-        Member(String id, Group group) {
-            this.id = id;
-            this.group = group;
-            window = FIRST_WINDOW / settings.routers();
-            group.members.add(this);
-        }
-    }
-
-    private record Spent(long at, double work) { }
-
-    /** What members of one kind of machine have in common. */
-    private static final class Kind {
-        double strain = FIRST_STRAIN, peakRate;
-    }
-
-    private static final class Group {
-        final List<Member> members = new ArrayList<>();
-        final List<Request> held = new ArrayList<>();
-        Member primary;
-        long primaryAt = Long.MIN_VALUE, askDue = Long.MIN_VALUE, askedAt = Long.MIN_VALUE;
-    }
-
-    /** A request until its last attempt is accounted for. */
-    private final class Request {
-        final Arrival arrival;
-        final RequestClass kind;
-        final Group group;
-        final long at, end, lastSend, needed;
-        final List<Member> tried = new ArrayList<>();
-        final List<Attempt> attempts = new ArrayList<>();
-        Attempt out, mayHaveRun;
-        boolean begun, over;
-
-        Request(Arrival arrival) {
-            this.arrival = arrival;
-            int index = arrival.requestClass();
-            kind = settings.classes().get(index);
-            group = groups.computeIfAbsent(arrival.group(), id -> new Group());
-            end = Math.max(now, now + arrival.timeLeft() - 2 * beat);
-            // A retry with another time left than first tries has the rest of the whole deadline: that tells
-            // when its client first asked. Past its aim worthless work is not begun; what runs may answer.
-            patience[index] = arrival.retry() ? patience[index] : arrival.timeLeft();
-            boolean told = arrival.retry() && Math.abs(arrival.timeLeft() - patience[index]) > beat;
-            at = now - (told ? Math.max(0, kind.deadline() - arrival.timeLeft()) : 0);
-            lastSend = kind.lateWorth() > 0 ? end : Math.min(end, at + kind.aim() - beat);
-            needed = kind.need() == Need.FRESH ? now : arrival.sinceWrite() != NONE
-                ? now - arrival.sinceWrite() : lastWrites.getOrDefault(arrival.session(), forgotten);
-        }
-    }
-
-    private record Attempt(Request request, int number, Member member, long sentAt) { }
-
     private final Settings settings;
     private final SplittableRandom random;
-    private final long beat, tightestBound;
+    private final long beat;
     private final double[] classMean;
     private final long[] patience;
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<Long, Group> groups = new LinkedHashMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
-    private final Map<Integer, Kind> kinds = new HashMap<>();
+    private final Map<Integer, MachineKind> kinds = new HashMap<>();
+    /** Members with attempts out; members that are gone, until nothing of theirs is out. */
+    private final Set<Member> busy = new LinkedHashSet<>();
+    private final Set<Member> leaving = new LinkedHashSet<>();
+    /** Groups that hold requests, and those of them of which something was heard in this turn. */
+    private final Set<Group> holding = new LinkedHashSet<>();
+    private final Set<Group> touched = new LinkedHashSet<>();
+    private final Freshness freshness;
+    private final SlowStart slowStart;
+    private ProbeScheduler probes;
     private final Map<Long, Long> lastWrites = new LinkedHashMap<>();
     private final List<Request> pending = new ArrayList<>();
     private final boolean shared;
     private final List<PeerNews.Finding> news = new ArrayList<>();
     private List<Action> actions = new ArrayList<>();
     private boolean stood, remembersWrites;
+    private long stoodAt = Long.MIN_VALUE;
     private long now, startedAt = Long.MIN_VALUE, nextBeat = Long.MIN_VALUE;
     private long askAt = Long.MAX_VALUE, askWait = ASK_AGAIN, forgotten = Long.MIN_VALUE;
 
     public Brain(Settings settings, long seed) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
-        this.shared = settings.limits().peers() && settings.routers() > HANDFUL;
+        this.shared = ProbeScheduler.isShared(settings);
+        this.freshness = new Freshness(settings, shared);
+        this.slowStart = new SlowStart(settings);
         this.beat = Math.max(2 * settings.tick(), 10 * MS);
         this.remembersWrites = settings.classes().stream().anyMatch(c -> c.need() == Need.SESSION);
-        this.tightestBound = settings.classes().stream().filter(c -> c.need() == Need.BOUNDED)
-            .mapToLong(RequestClass::stalenessBound).min().orElse(Long.MAX_VALUE);
         this.patience = settings.classes().stream().mapToLong(RequestClass::deadline).toArray();
         this.classMean = settings.classes().stream().mapToDouble(c -> c.aim() / 4.0).toArray();
     }
@@ -192,24 +114,31 @@
         now = time;
         actions = new ArrayList<>();
         if (startedAt == Long.MIN_VALUE) {
-            startedAt = nextBeat = now;
-            askAt = settings.askForList() ? now : Long.MAX_VALUE;
+            start();
         }
         // The router's own pause, told by its late timer, is no slowness of members. Harm: one batch unread.
         stood = now > nextBeat + STANDSTILL;
-        members.values().stream().filter(m -> stood).forEach(m -> m.answeredAt = now);
+        stoodAt = stood ? now : stoodAt;
         events.forEach(this::learn);
         if (now >= nextBeat) {
+            touched.addAll(holding);
             beat();
             nextBeat = now + beat;
             actions.add(new SetTimer(nextBeat, 0));
         }
-        groups.values().forEach(this::resume);
+        touched.stream().filter(holding::remove).forEach(this::resume);
+        touched.clear();
         List.copyOf(pending).forEach(this::route);
         pending.clear();
         return actions;
     }
 
+    private void start() {
+        startedAt = nextBeat = now;
+        askAt = settings.askForList() ? now : Long.MAX_VALUE;
+        probes = new ProbeScheduler(settings, random, freshness, action -> actions.add(action), now);
+    }
+
     private void learn(Event event) {
         if (event instanceof MemberList list) {
             learnList(list);
@@ -233,10 +162,30 @@
             actions.add(new Refuse(arrival.request(), 0)); // of no class that the settings name: nothing ran
             return;
         }
-        Request request = new Request(arrival);
-        request.group.askedAt = now;
-        requests.put(arrival.request(), request);
+        Request request = request(arrival);
+        request.group.onRequest(now);
+        requests.put(request.id(), request);
         pending.add(request);
+        probes.onRequest(request, members.size(), now);
+    }
+
+    private Request request(Arrival arrival) {
+        int index = arrival.requestClass();
+        RequestClass kind = settings.classes().get(index);
+        long end = Math.max(now, now + arrival.timeLeft() - 2 * beat);
+        // A retry with another time left than first tries has the rest of the whole deadline: that tells
+        // when its client first asked. Past its aim worthless work is not begun; what runs may answer.
+        patience[index] = arrival.retry() ? patience[index] : arrival.timeLeft();
+        boolean told = arrival.retry() && Math.abs(arrival.timeLeft() - patience[index]) > beat;
+        long at = now - (told ? Math.max(0, kind.deadline() - arrival.timeLeft()) : 0);
+        long lastSend = kind.lateWorth() > 0 ? end : Math.min(end, at + kind.aim() - beat);
+        long needed = kind.need() == Need.FRESH ? now : arrival.sinceWrite() != NONE
+            ? now - arrival.sinceWrite() : lastWrites.getOrDefault(arrival.session(), forgotten);
+        return new Request(arrival, kind, group(arrival.group()), at, end, lastSend, needed);
+    }
+
+    private Group group(long id) {
+        return groups.computeIfAbsent(id, number -> new Group());
     }
 
     /** Follows the list: a drain binds at once, and so does absence unless only a drain is to bind. */
@@ -251,14 +200,17 @@
         boolean lenient = settings.rules().drainBindsAlone();
         if (list.kind() != ListKind.CHANGES) {
             Set<String> listed = list.listings().stream().map(Listing::member).collect(Collectors.toSet());
-            members.values().stream().filter(m -> !listed.contains(m.id) && !lenient)
-                .forEach(m -> m.phase = Phase.GONE);
+            members.values().stream().filter(m -> !listed.contains(m.id) && !lenient).forEach(m -> {
+                m.phase = Phase.GONE;
+                onListed(m);
+            });
         }
         for (Listing line : list.listings()) {
             Member member = members.computeIfAbsent(line.member(),
-                id -> new Member(id, groups.computeIfAbsent(line.group(), number -> new Group())));
+                id -> new Member(id, group(line.group()), FIRST_STRAIN, FIRST_WINDOW / settings.routers()));
+            slowStart.discount(member, now);
             member.zone = line.zone();
-            member.kind = kinds.computeIfAbsent(line.kind(), id -> new Kind());
+            member.kind = kinds.computeIfAbsent(line.kind(), id -> new MachineKind(FIRST_STRAIN));
             if (line.born() > member.born) {
                 member.born = line.born();
                 member.down = false;
@@ -266,13 +218,25 @@
                 member.window = COLD_WINDOW / settings.routers();
             }
             member.phase = line.phase() == Phase.GONE && lenient ? member.phase : line.phase();
+            onListed(member);
             if (line.primary()) {
                 boolean late = settings.data().listedRole() == ListedRole.LATE;
-                learnRole(member, Role.PRIMARY, late ? now - LIST_AGE : Long.MIN_VALUE + 1);
+                learnRole(member, Role.PRIMARY, late ? now - SlowStart.LIST_AGE : Long.MIN_VALUE + 1);
             }
         }
     }
 
+    /** What follows a line of the list, or a line that is missing there. */
+    private void onListed(Member member) {
+        touched.add(member.group);
+        slowStart.recount(member, now);
+        if (member.phase == Phase.SERVING) {
+            probes.onServing(member, members.size(), now);
+        } else if (member.phase == Phase.GONE) {
+            leaving.add(member);
+        }
+    }
+
     /** Newest evidence wins: reports and lists speak of the past, answers of the present. */
     private void learnRole(Member member, Role role, long at) {
         if (role == Role.UNKNOWN || at < member.roleAt) {
@@ -281,8 +245,10 @@
         member.role = role;
         member.roleAt = at;
         Group group = member.group;
+        touched.add(group);
         if (at >= group.primaryAt && (role == Role.PRIMARY || group.primary == member)) {
             group.primary = role == Role.PRIMARY ? member : null;
+            group.searches = 0;
             group.primaryAt = at;
         }
     }
@@ -297,6 +263,7 @@
         member.probing = false;
         if (echo.result() != Result.OK) {
             if (echo.result() != Result.REJECTED) {
+                probes.onFailed(member, now);
                 lose(member, echo.result() == Result.NOT_CONNECTED);
             }
             return;
@@ -305,17 +272,22 @@
             member.window = COLD_WINDOW / settings.routers();
             member.returnedAt = now;
         }
+        boolean returned = member.down;
         member.down = member.refused = false;
-        member.ping += (echo.elapsed() - member.ping) / (member.ping == 0 ? 1 : PINGS);
-        if (--member.pingsLeft > 0) {
-            probe(member);
+        if (returned) {
+            slowStart.recount(member, now);
         }
+        touched.add(member.group);
+        member.ping += (echo.elapsed() - member.ping) / (member.ping == 0 ? 1 : ProbeScheduler.PINGS);
+        probes.onAnswered(member, now);
         if (echo.report() != null) {
             long position = echo.report().position();
             learnPosition(member, position, now);
             Role role = echo.report().role();
+            boolean knownPrimary = member.group.primary == member;
             learnRole(member, role, position == NONE ? now - echo.elapsed() : position);
-            if (shared && member.pingsLeft <= 0) {
+            boolean changed = knownPrimary != (member.group.primary == member);
+            if (probes.handsOn(member, changed, now)) {
                 news.add(new PeerNews.Finding(member.id, role, now, position, (long) member.ping));
             }
         }
@@ -335,20 +307,10 @@
             learnRole(member, found.role(), found.position() == NONE ? found.at() : found.position());
             learnPosition(member, found.position(), found.at());
             member.ping = told.zone() == settings.zone() && found.ping() > 0 ? found.ping() : member.ping;
-            member.roundDue = nextRound();
-            member.urgentDue = member.down ? now : nextUrgent();
+            probes.onNews(member, members.size(), now);
         }
     }
 
-    private long nextRound() {
-        return now + PROBE_PERIOD + (shared ? random.nextLong(PROBE_PERIOD) : 0);
-    }
-
-    /** Each router's gap is its own, so that of many one asks soon and the others hear of it. */
-    private long nextUrgent() {
-        return now + URGENT_GAP + (shared ? random.nextLong(PROBE_PERIOD - URGENT_GAP) : 0);
-    }
-
     private void learnOutcome(Outcome outcome) {
         Request request = requests.get(outcome.request());
         Attempt attempt = request == null || outcome.attempt() >= request.attempts.size() ? null
@@ -359,6 +321,10 @@
         request.out = null;
         Member member = attempt.member();
         member.open.remove(attempt);
+        if (member.open.isEmpty()) {
+            busy.remove(member);
+        }
+        touched.add(member.group);
         learnHealth(member, attempt, outcome);
         learnRole(member, outcome.role(), now);
         learnPosition(member, outcome.position(), now);
@@ -378,7 +344,7 @@
 
     /** Health from answers: how much of its aim an answer took. */
     private void learnHealth(Member member, Attempt attempt, Outcome outcome) {
-        int index = attempt.request().arrival.requestClass();
+        int index = attempt.request().classIndex();
         // One lost answer is no queue: no sample counts for more than a missed aim.
         double strain = Math.min(1, outcome.elapsed() / (double) attempt.request().kind.aim());
         boolean answered = SAID.contains(outcome.result());
@@ -391,7 +357,7 @@
             case OK -> {
                 classMean[index] += CLASS_WEIGHT * (outcome.elapsed() - classMean[index]);
                 sample(member, strain);
-                member.servedRate += work(attempt.request()) * SECOND / RATE_TIME;
+                slowStart.onServed(member, work(attempt.request()) * SECOND / MachineKind.RATE_TIME, now);
                 if (strain(member) > STRAIN_AIM) {
                     narrow(member);
                 } else if (member.open.size() + 1 >= member.window / 2) {
@@ -401,25 +367,31 @@
             case REJECTED -> narrow(member);
             case TIMED_OUT, CANCELLED -> {
                 // Where others were answered meanwhile, in time, a long wait is a lost answer and no load.
-                if (!late(attempt) || member.answeredAt <= attempt.sentAt() || strain(member) >= STRAIN_AIM) {
+                if (!late(attempt) || answeredAt(member) <= attempt.sentAt() || strain(member) >= STRAIN_AIM) {
                     sample(member, Math.max(strain, strain(member)));
                     narrow(member);
                 }
             }
             case NOT_CONNECTED -> lose(member, true);
-            case RESET -> urgent(member); // one broken connection is no dead member: a probe tells
+            case RESET -> probes.urgent(member, now); // one broken connection is no dead member: a probe tells
             default -> { }
         }
     }
 
+    /** When the member last answered, as far as this router was able to hear it. */
+    private long answeredAt(Member member) {
+        return Math.max(member.answeredAt, stoodAt);
+    }
+
     /** Guards against broken links: one failure beside answers only asks a probe. Harm: a try at the dead. */
     private void lose(Member member, boolean refused) {
-        boolean once = member.failedAt < member.answeredAt && now < member.answeredAt + RESTART;
+        boolean once = member.failedAt < answeredAt(member) && now < answeredAt(member) + RESTART;
         member.failedAt = now;
         member.downAt = member.down ? member.downAt : now;
         member.refused |= refused && !once;
         member.down |= !once;
-        urgent(member);
+        slowStart.recount(member, now);
+        probes.urgent(member, now);
     }
 
     private void sample(Member member, double strain) {
@@ -449,6 +421,7 @@
         boolean sent = member != null && send(request, member);
         if (!sent && worthHolding(request)) {
             request.group.held.add(request);
+            holding.add(request.group);
         } else if (!sent) {
             end(request);
         }
@@ -470,7 +443,7 @@
                 || request.attempts.size() + 1 >= settings.limits().maxAttempts()) {
             return null;
         }
-        group.askDue = now + URGENT_GAP;
+        group.askDue = now + ProbeScheduler.URGENT_GAP;
         return candidates(request, m -> healthy(m) && room(request, m, 1)).stream()
             .min(Comparator.comparingLong(m -> m.sentAt)).orElse(null);
     }
@@ -482,24 +455,29 @@
             return null; // a fresh router waits for its first probes
         }
         List<Member> replicas = candidates(request,
-            m -> m != group.primary && healthy(m) && room(request, m, 1) && eligible(request, m));
+            m -> m != group.primary && healthy(m) && room(request, m, 1) && freshness.isEligible(request, m, now));
         if (!replicas.isEmpty()) {
             return drawNearFastest(request, replicas);
         }
         // Then the primary; where nobody looks well, doubt the judgement rather than the members.
         boolean doubt = group.members.stream().noneMatch(this::healthy);
-        return candidates(request, doubt ? m -> eligible(request, m) && now >= m.trialAt + TRIAL_GAP
+        return candidates(request, doubt ? m -> freshness.isEligible(request, m, now) && now >= m.trialAt + TRIAL_GAP
             : m -> m == group.primary && healthy(m) && room(request, m, PRIMARY_FOR_READS))
             .stream().findFirst().orElse(null);
     }
 
     /** The design's draw, without members that are clearly more crowded than the best. */
     private Member drawNearFastest(Request request, List<Member> replicas) {
-        double margin = PING_MARGIN * classMean[request.arrival.requestClass()];
+        double margin = PING_MARGIN * classMean[request.classIndex()];
         double fastest = replicas.stream().mapToDouble(m -> m.ping).filter(p -> p > 0).min().orElse(0);
         replicas.removeIf(m -> m.ping > fastest + margin);
         double least = replicas.stream().mapToDouble(this::delay).min().orElse(0);
         replicas.removeIf(m -> delay(m) > CROWDED * least);
+        if (request.group.isAskedLessOftenThan(ProbeScheduler.PERIOD)) {
+            // Reads this far apart crowd nobody, and each new connection costs its member work and the read time.
+            List<Member> connected = replicas.stream().filter(m -> m.contactedAt() > now - CONNECTION_KEPT).toList();
+            replicas = connected.isEmpty() ? replicas : connected;
+        }
         return replicas.get(random.nextInt(replicas.size()));
     }
 
@@ -524,13 +502,9 @@
         return out == 0 ? window >= 1 || now - member.sentAt >= gap : out < window;
     }
 
-    private boolean usable(Member member) {
-        return member.phase == Phase.SERVING && !member.down;
-    }
-
     private boolean healthy(Member member) {
         boolean trial = member.open.stream().allMatch(this::late) && now >= member.trialAt + TRIAL_GAP;
-        return usable(member) && (member.suspectSince == NONE || trial);
+        return member.isUsable() && (member.suspectSince == NONE || trial);
     }
 
     /** Out for so long that it stands in no trial's way and, beside later answers, tells of no silence. */
@@ -538,32 +512,15 @@
         return now >= a.sentAt() + LOST * a.request().kind.aim();
     }
 
-    /** Whether the member's data is new enough, as far as this router can know. */
-    private boolean eligible(Request request, Member member) {
-        long bound = request.kind.stalenessBound();
-        return member == request.group.primary || switch (request.kind.need()) {
-            case ANY, WRITE -> true;
-            case FRESH, SESSION -> member.position >= request.needed;
-            case BOUNDED -> member.position >= now - bound || lag(member) < NEAR_BOUND * bound;
-        };
-    }
-
-    /** Where members refuse stale reads themselves, a lag is taken to hold on until the next probe. */
-    private long lag(Member member) {
-        boolean holds = settings.data().behind() != Behind.ANSWERS
-            && member.positionAt > now - (shared ? 2 : 1) * PROBE_PERIOD - URGENT_GAP;
-        return (holds ? member.positionAt : now) - member.position;
-    }
-
     // ---- The gate: every send passes here
 
     private boolean permitted(Request request, Member member) {
         boolean open = !request.over && request.out == null && !request.begun && now < request.lastSend
             && request.attempts.size() < settings.limits().maxAttempts();
         boolean listed = member.group == request.group && member.phase == Phase.SERVING;
-        boolean proven = settings.data().behind() != Behind.ANSWERS || eligible(request, member);
+        boolean proven = settings.data().behind() != Behind.ANSWERS || freshness.isEligible(request, member, now);
         return open && listed && proven && (request.mayHaveRun == null || repeatable(request, member))
-            && withinBudget(member, work(request));
+            && slowStart.isWithinBudget(member, work(request), now);
     }
 
     private boolean repeatable(Request request, Member member) {
@@ -577,39 +534,7 @@
     }
 
     private double work(Request request) {
-        return classMean[request.arrival.requestClass()] / Arrays.stream(classMean).average().orElse(1);
-    }
-
-    /**
-     * Cold members: this router's part of what one may take in any window, from the best mean rate at which
-     * warm members of that kind have served this router. Such rates, over all routers, add up to what one can
-     * do; the best of single members would not, for the few answers of each come in bursts.
-     */
-    private boolean withinBudget(Member member, double work) {
-        Rules rules = settings.rules();
-        if (age(member) >= rules.warmAfter()) {
-            member.spent.clear();
-            return true;
-        }
-        member.spent.removeIf(spent -> spent.at() <= now - rules.overloadWindow());
-        double present = rules.coldShare() + (1 - rules.coldShare()) * age(member) / rules.warmAfter();
-        double budget = BUDGET_PART * rules.overloadFactor() * present * rules.overloadWindow() / SECOND
-            * member.kind.peakRate;
-        // Many routers' shares are parts of a send. Whose turn it is to round up goes by rank and window, so
-        // a cold member that all turn to at once (its group's new primary) still meets only its budget.
-        double share = Math.max(budget, LEAST_BUDGET / settings.routers());
-        double turn = now / rules.overloadWindow() * TURN + settings.rank() / (double) settings.routers();
-        return member.spent.stream().mapToDouble(Spent::work).sum() + work <= share + turn % 1 * work;
-    }
-
-    /**
-     * Time since a member started: as listed or, while lists are late, guessed from its return after refused
-     * connections. Harm: a member that was only cut off gets little work for that time.
-     */
-    private long age(Member member) {
-        long back = now - member.returnedAt;
-        long listed = member.born == 0 ? Long.MAX_VALUE : now - member.born;
-        return Math.max(0, back < LIST_AGE ? Math.min(back, listed) : listed);
+        return classMean[request.classIndex()] / Arrays.stream(classMean).average().orElse(1);
     }
 
     private boolean send(Request request, Member member) {
@@ -621,10 +546,11 @@
         request.tried.add(member);
         request.out = attempt;
         member.open.add(attempt);
+        busy.add(member);
         member.sentAt = now;
-        member.spent.add(new Spent(now, work(request)));
+        slowStart.onSent(member, work(request), now);
         member.trialAt = member.suspectSince != NONE || member.down ? now : member.trialAt;
-        actions.add(new Send(request.arrival.request(), member.id, request.end - now));
+        actions.add(new Send(request.id(), member.id, request.end - now));
         return true;
     }
 
@@ -636,11 +562,12 @@
             case MISSED -> {
                 if (request.kind.need() == Need.WRITE) {
                     learnRole(attempt.member(), Role.REPLICA, now);
-                    request.group.members.forEach(this::urgent);
+                    request.group.members.forEach(m -> probes.urgent(m, now));
                     request.tried.remove(attempt.member());
                 } else {
                     attempt.member().positionAt = Long.MIN_VALUE; // lags more than was thought
-                    urgent(attempt.member());
+                    attempt.member().missedAt = now;
+                    probes.urgent(attempt.member(), now);
                 }
                 pending.add(request);
             }
@@ -660,13 +587,16 @@
      */
     private boolean worthHolding(Request request) {
         long until = request.kind.need() != Need.WRITE ? request.at + (long) (HOLD_PART * request.kind.aim())
-            : request.lastSend - (long) classMean[request.arrival.requestClass()];
+            : request.lastSend - (long) classMean[request.classIndex()];
         return now < until && request.attempts.size() < settings.limits().maxAttempts()
             && (request.mayHaveRun == null || request.kind.effect() == Effect.IDEMPOTENT);
     }
 
     /** Held requests that are still in time go first, the newest of them first: they have the best chance. */
     private void resume(Group group) {
+        if (group.held.stream().anyMatch(freshness::needsPrimary)) {
+            probes.searchPrimary(group, now);
+        }
         group.held.removeIf(r -> r.over);
         group.held.sort(Comparator.comparing((Request r) -> now > r.at + r.kind.aim())
             .thenComparing(r -> -r.at));
@@ -679,7 +609,7 @@
         boolean harmless = request.kind.effect() == Effect.IDEMPOTENT
             || request.mayHaveRun == null && request.out == null
             || request.kind.effect() == Effect.DEDUPLICATED && request.kind.repeatScope() == RepeatScope.ALL;
-        long id = request.arrival.request();
+        long id = request.id();
         // Come back soon while that can be in time; later than that, asking again is only load.
         long soon = now < request.at + request.kind.aim() / 2 ? (long) (HOLD_PART * request.kind.aim())
             : settings.limits().maxRetryAfter();
@@ -690,14 +620,14 @@
 
     private void recall(Request request) {
         if (settings.limits().cancel() && request.out != null && !request.begun) {
-            actions.add(new Cancel(request.arrival.request(), request.out.number()));
+            actions.add(new Cancel(request.id(), request.out.number()));
         }
     }
 
     private void close(Request request) {
         request.over = true;
         if (request.out == null) {
-            requests.remove(request.arrival.request());
+            requests.remove(request.id());
         }
     }
 
@@ -708,28 +638,25 @@
         }
         List.copyOf(requests.values()).stream().filter(r -> !r.over && !r.begun)
             .filter(r -> now >= (r.out == null ? r.lastSend : r.end)).forEach(this::end);
-        for (Member member : List.copyOf(members.values())) {
-            if (member.phase == Phase.GONE && member.open.isEmpty() && !member.probing) {
-                forget(member);
-            } else if (member.phase == Phase.SERVING) {
-                watchSilence(member);
-                probeWhenDue(member);
-            }
-            member.servedRate *= Math.exp(-beat / RATE_TIME);
-        }
-        for (Kind kind : kinds.values()) {
-            kind.peakRate = Math.max(kind.peakRate, members.values().stream()
-                .filter(m -> m.kind == kind && usable(m) && age(m) >= settings.rules().warmAfter())
-                .mapToDouble(m -> m.servedRate).average().orElse(0));
-        }
+        List.copyOf(leaving).forEach(this::forgetIfGone);
+        List.copyOf(busy).stream().filter(m -> m.phase == Phase.SERVING).forEach(this::watchSilence);
+        slowStart.tick(now);
+        probes.tick(members.size(), now);
         PeerNews.encode(settings.zone(), news).forEach(datagram -> actions.add(new Tell(NONE, datagram)));
         news.clear();
     }
 
     /** Routers run for weeks, ids are new: what is gone is forgotten. Harm: one listed again is unknown. */
-    private void forget(Member member) {
-        member.group.members.remove(members.remove(member.id));
-        actions.add(new Forget(member.id));
+    private void forgetIfGone(Member member) {
+        if (member.phase != Phase.GONE) {
+            leaving.remove(member);
+        } else if (member.open.isEmpty() && !member.probing) {
+            leaving.remove(member);
+            probes.forget(member);
+            slowStart.forget(member, now);
+            member.group.members.remove(members.remove(member.id));
+            actions.add(new Forget(member.id));
+        }
     }
 
     /**
@@ -739,8 +666,8 @@
     private void watchSilence(Member member) {
         double missing = 0;
         for (Attempt attempt : member.open) {
-            long silent = now - Math.max(attempt.sentAt(), member.answeredAt);
-            missing += late(attempt) && member.answeredAt > attempt.sentAt() ? 0
+            long silent = now - Math.max(attempt.sentAt(), answeredAt(member));
+            missing += late(attempt) && answeredAt(member) > attempt.sentAt() ? 0
                 : silent / (attempt.request().kind.aim() * strain(member));
         }
         if (missing < SILENCE) {
@@ -748,7 +675,7 @@
         }
         if (member.suspectSince == NONE) {
             member.suspectSince = member.trialAt = now;
-            urgent(member);
+            probes.urgent(member, now);
         }
         long silentOnes = member.group.members.stream().filter(m -> m.suspectSince != NONE).count();
         if (2 * silentOnes <= member.group.members.size()) {
@@ -756,34 +683,4 @@
                 .filter(r -> r.kind.effect() == Effect.IDEMPOTENT && !r.over).forEach(this::recall);
         }
     }
-
-    /** Urgently only what a request has asked for since: many routers' probes would cost more than that. */
-    private void probeWhenDue(Member member) {
-        Member primary = member.group.primary;
-        boolean nearBound = settings.data().probesTellPosition() && lag(member) > NEAR_BOUND * tightestBound;
-        boolean noPrimary = primary == null || !usable(primary) || primary.suspectSince != NONE;
-        if (now >= member.roundDue && !member.probing) {
-            member.roundDue = nextRound();
-            member.pingsLeft = PINGS;
-            probe(member);
-        } else if (member.group.askedAt > member.probedAt
-                && (nearBound || noPrimary || member.down || member.suspectSince != NONE)) {
-            urgent(member);
-        }
-    }
-
-    private void urgent(Member member) {
-        if (!member.probing && member.phase == Phase.SERVING && now >= member.urgentDue) {
-            probe(member);
-        }
-    }
-
-    private void probe(Member member) {
-        if (settings.limits().probes()) {
-            member.probing = true;
-            member.probedAt = now;
-            member.urgentDue = nextUrgent();
-            actions.add(new Probe(member.id));
-        }
-    }
 }
--- /dev/null
+++ b/core/src/test/java/ledgewall/FleetCostTest.java
@@ -0,0 +1,55 @@
+package ledgewall;
+
+import static ledgewall.Bench.SECOND;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What decisions cost a router of a hundred with the usual number of members and with sixteen times as many. */
+class FleetCostTest {
+    private static final int ROUTERS = 100;
+    private static final int GROUPS = 17;
+    private static final int TIMES = 16;
+    private static final double RATE = 1_200;
+    private static final long DAY = 20 * SECOND;
+
+    /** Of one router, in the mean; {@code refused} is a part of the requests. */
+    private record Cost(double requests, double probes, double findings, double refused, double allocatedBytes) { }
+
+    private static Cost cost(int groups, boolean shared) {
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        Fleet fleet = new Fleet(ROUTERS, groups, shared);
+        fleet.pass(SECOND, RATE);
+        long before = threads.getCurrentThreadAllocatedBytes();
+        fleet.pass(DAY, RATE);
+        double allocated = threads.getCurrentThreadAllocatedBytes() - before;
+        double probes = fleet.probesBy.values().stream().mapToInt(n -> n).sum();
+        return new Cost(fleet.asked / (double) ROUTERS, probes / ROUTERS, fleet.heard / (double) ROUTERS,
+            fleet.refused / (double) fleet.asked, allocated / ROUTERS);
+    }
+
+    /** Allocated bytes stand for work: they are the same in each run. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void theWorkOfDecisionsGoesByTrafficAndNotByTheNumberOfMembers(boolean shared) {
+        Cost usual = cost(GROUPS, shared);
+        Cost many = cost(TIMES * GROUPS, shared);
+        assertTrue(many.allocatedBytes() <= 1.4 * usual.allocatedBytes(), usual + " " + many);
+        assertTrue(1 - many.refused() >= 0.85 * (1 - usual.refused()), usual + " " + many);
+        assertTrue(many.probes() <= many.requests(), usual + " " + many);
+        assertTrue(many.findings() <= 5 * many.requests(), usual + " " + many);
+    }
+
+    @Test
+    void membersThatFailTheirProbesAreNotProbedWithoutARequest() {
+        Fleet fleet = new Fleet(1, TIMES * GROUPS, false);
+        fleet.hosts.values().forEach(host -> host.gone = true);
+        fleet.pass(DAY, 0);
+        double rounds = 40;
+        assertTrue(fleet.probesBy.get(0) <= rounds * (DAY / SECOND + 1), "probes " + fleet.probesBy);
+    }
+}
--- a/router/src/main/java/ledgewall/net/Descriptors.java
+++ b/router/src/main/java/ledgewall/net/Descriptors.java
@@ -7,7 +7,7 @@
     /** Part of the limit that is kept back for probes, discovery and connections that are on their way in or out. */
     private static final int KEPT_PART = 12;
     private static final int LEAST_KEPT = 16;
-    private static final int IDLE_PART = 6;
+    private static final int IDLE_PART = 4;
     private static final int LEAST_IDLE = 8;
     /** The part of the descriptors that clients may hold for requests, by the protocol's page. */
     private static final int CLIENTS_PART = 3;
@@ -38,7 +38,7 @@
         return Math.max(1, forTraffic() * 2 / 3);
     }
 
-    /** Connections to members that may be idle: what most requests find open again, and a small part of the limit. */
+    /** Connections to members that may be idle: what most requests find open again, and a part of the limit. */
     int forIdleHosts() {
         return Math.max(LEAST_IDLE, limit / IDLE_PART);
     }
