Test a router process beside sixteen times the hosts by the standing test's bounds

A router process, loopback hosts, discovery and fellow routers, 12 requests a second for 20 s, a member that starts anew each 2 s and eleven groups with a new primary at once; 60 and 960 hosts, 512 descriptors; beside it 3,200 hosts that answer or hang with 192 descriptors.

--- a/router/src/test/java/ledgewall/fleet/FleetSizeTest.java
+++ b/router/src/test/java/ledgewall/fleet/FleetSizeTest.java
@@ -7,98 +7,148 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import ledgewall.standin.HostFarm;
+import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** One router process of a hundred beside small and very large fleets of database hosts, the traffic being the same. */
+/**
+ * One router process of a hundred beside database hosts of the usual and of sixteen times the usual number and more, the
+ * traffic being the same. Bounds are those of the standing test for larger fleets.
+ */
 @Timeout(180)
 class FleetSizeTest {
+    private static final int ROUTERS = 100;
+    private static final int RANK = 7;
     private static final int GROUP = 4;
+    private static final int USUAL_HOSTS = 60;
+    private static final int MANY_HOSTS = 16 * USUAL_HOSTS;
+    private static final int SOCKETS = 512;
+    private static final int PER_SECOND = 12;
+    private static final int SECONDS = 20;
     private static final long SEED = 28;
 
     @TempDir
-    private Path folder;
+    private static Path folder;
+    private static Outcome usual;
+    private static Outcome many;
 
     /** What a router needed, and what became of its clients. */
     private record Outcome(int asked, int served, List<String> lost, double processorSeconds, long descriptors,
-                           int connections, long listBytes, long probes) { }
+                           int connections, long listBytes) { }
 
-    private Outcome play(int hosts, int sockets, int seconds, boolean answering) throws IOException, InterruptedException {
-        try (HostFarm primaries = new HostFarm(true); HostFarm replicas = new HostFarm(false)) {
-            primaries.answering(answering);
-            replicas.answering(answering);
+    /** A fleet of so many hosts and what happens there. */
+    private record Scene(int hosts, int sockets, int perSecond, int seconds, boolean fellows, boolean answering) { }
+
+    @BeforeAll
+    static void playBothSizes() throws IOException, InterruptedException {
+        usual = play(new Scene(USUAL_HOSTS, SOCKETS, PER_SECOND, SECONDS, true, true));
+        many = play(new Scene(MANY_HOSTS, SOCKETS, PER_SECOND, SECONDS, true, true));
+    }
+
+    private static Outcome play(Scene scene) throws IOException, InterruptedException {
+        try (HostFarm primaries = new HostFarm(true); HostFarm replicas = new HostFarm(false);
+                FellowRouters fellows = new FellowRouters(ROUTERS, RANK)) {
+            primaries.answering(scene.answering());
+            replicas.answering(scene.answering());
             List<String> entries = new ArrayList<>();
-            for (int i = 0; i < hosts; i++) {
-                entries.add(entry("s-" + i, (i % GROUP == 0 ? primaries : replicas).address(), i / GROUP, 0));
+            for (int i = 0; i < scene.hosts(); i++) {
+                entries.add(entry(i, (i % GROUP == 0 ? primaries : replicas).address(), 0));
             }
             try (MemberDirectory directory = new MemberDirectory(entries);
-                    RouterProcess router = new RouterProcess(folder, config(directory, sockets));
-                    ClientCrowd clients = new ClientCrowd(router.address(), (hosts + GROUP - 1) / GROUP, SEED)) {
-                Thread changes = new Thread(() -> restartMembers(directory, replicas, hosts, seconds), "changes");
-                changes.start();
+                    RouterProcess router = new RouterProcess(folder, config(directory, scene, fellows.config()));
+                    ClientCrowd clients = new ClientCrowd(router.address(), scene.hosts() / GROUP, SEED)) {
                 double before = router.processorSeconds();
-                clients.run(12, seconds, 800);
-                double used = router.processorSeconds() - before;
-                long descriptors = router.descriptors();
+                fellows.tellPrimaries(IntStream.range(0, scene.hosts() / GROUP).mapToObj(i -> "s-" + i * GROUP).toList());
+                Thread changes = new Thread(() -> change(directory, primaries, replicas, scene), "changes");
+                changes.start();
+                clients.run(scene.perSecond(), scene.seconds(), 800);
+                Outcome outcome = new Outcome(clients.asked(), clients.served(), clients.lost(),
+                    router.processorSeconds() - before, router.descriptors(),
+                    primaries.connections() + replicas.connections(), directory.bytes());
                 changes.join();
-                router.stop();
-                System.out.println(hosts + " hosts: asked " + clients.asked() + ", served " + clients.served() + ", lost "
-                    + clients.lost().size() + ", processor " + used + " s, descriptors " + descriptors + ", connections "
-                    + (primaries.connections() + replicas.connections()) + ", list bytes " + directory.bytes()
-                    + ", probes " + (primaries.probes() + replicas.probes()) + ", accept paused "
-                    + router.counter("accept_paused_millis") + " ms; " + clients.lost().stream().limit(3).toList());
-                return new Outcome(clients.asked(), clients.served(), clients.lost(), used, descriptors,
-                    primaries.connections() + replicas.connections(), directory.bytes(),
-                    primaries.probes() + replicas.probes());
+                System.out.println(scene + " " + outcome);
+                return outcome;
             }
         }
     }
 
-    /** A replica starts anew each two seconds. */
-    private static void restartMembers(MemberDirectory directory, HostFarm replicas, int hosts, int seconds) {
+    /** A replica starts anew each two seconds; in the middle eleven groups, or all there are, have a new primary at once. */
+    private static void change(MemberDirectory directory, HostFarm primaries, HostFarm replicas, Scene scene) {
         try {
-            for (int second = 2; second < seconds; second += 2) {
+            for (int second = 2; second < scene.seconds(); second += 2) {
                 Thread.sleep(2_000);
-                int member = (second * GROUP + 1) % hosts;
-                directory.change(List.of(entry("s-" + member, replicas.address(), member / GROUP, System.currentTimeMillis())));
+                int member = (second * GROUP + 1) % scene.hosts();
+                directory.change(List.of(entry(member, replicas.address(), System.currentTimeMillis())));
+                if (second == scene.seconds() / 2) {
+                    List<String> changed = new ArrayList<>();
+                    for (int group = 0; group < Math.min(11, scene.hosts() / GROUP); group++) {
+                        changed.add(entry(group * GROUP, replicas.address(), 0));
+                        changed.add(entry(group * GROUP + 1, primaries.address(), 0));
+                    }
+                    directory.change(changed);
+                }
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
 
-    private static String entry(String id, String address, int group, long startedAt) {
-        return "{\"id\":\"" + id + "\",\"host_port\":\"" + address + "\",\"locality\":\"south\",\"flavor\":\"small\",\"cell\":"
-            + group + ",\"phase\":\"Ready\",\"size\":1.0,\"up_since_ms\":" + startedAt + "}";
+    private static String entry(int host, String address, long startedAt) {
+        return "{\"id\":\"s-" + host + "\",\"host_port\":\"" + address + "\",\"locality\":\"south\",\"flavor\":\"small\","
+            + "\"cell\":" + host / GROUP + ",\"phase\":\"Ready\",\"size\":1.0,\"up_since_ms\":" + startedAt + "}";
     }
 
-    private static String config(MemberDirectory directory, int sockets) {
+    private static String config(MemberDirectory directory, Scene scene, String fellows) {
         return "{\"name\":\"r1\",\"listen\":\"%s\",\"discovery\":\"" + directory.address() + "\",\"seed\":\"1c\","
-            + "\"limits\":{\"sockets\":" + sockets + "},\"known\":" + directory.whole() + ","
-            + "\"settings\":{\"peersTotal\":100,\"rank\":7,\"areas\":[\"north\",\"south\"],\"kinds\":[\"small\"],"
-            + "\"discovery\":\"push\",\"ceilings\":{\"maxAttempts\":10,\"cancel\":true,\"probing\":true,"
-            + "\"connIdleNs\":30000000000,\"connectTimeoutNs\":250000000},"
-            + "\"report\":{\"how\":\"probe\",\"fields\":[\"x0\",\"x1\"]},"
+            + (scene.fellows() ? fellows : "") + "\"limits\":{\"sockets\":" + scene.sockets() + "},\"known\":" + directory.whole()
+            + ",\"settings\":{\"peersTotal\":" + ROUTERS + ",\"rank\":" + RANK
+            + ",\"areas\":[\"north\",\"south\"],\"kinds\":[\"small\"],\"discovery\":\"push\",\"ceilings\":{\"maxAttempts\":10,"
+            + "\"cancel\":true,\"probing\":true,\"peers\":" + scene.fellows() + ",\"connIdleNs\":30000000000,"
+            + "\"connectTimeoutNs\":250000000},\"report\":{\"how\":\"probe\",\"fields\":[\"x0\",\"x1\"]},"
             + "\"rules\":{\"answerSlackNs\":20000000,\"stopSendingWithinNs\":2000000000,\"overloadWindowNs\":3000000000},"
             + "\"domain\":{\"needsByClass\":[\"any\",\"write\"],\"behind\":\"refuse\"},"
             + "\"classes\":[{\"name\":\"look\",\"effect\":\"idempotent\",\"aimNs\":300000000,\"deadlineNs\":800000000},"
             + "{\"name\":\"put\",\"effect\":\"at_most_once\",\"aimNs\":300000000,\"deadlineNs\":800000000}]}}";
     }
 
+    private static void assertNothingLost(Outcome outcome) {
+        assertEquals(0, outcome.lost().size(), () -> outcome.lost().stream().limit(5).toList().toString());
+    }
+
     @Test
     void noRequestIsLeftUnansweredWhereConnectionsToThousandsOfHostsCouldFillTheDescriptors()
             throws IOException, InterruptedException {
-        Outcome outcome = play(3_200, 192, 12, true);
-        assertEquals(0, outcome.lost().size(), () -> outcome.lost().stream().limit(5).toList().toString());
+        Outcome outcome = play(new Scene(3_200, 192, 30, 12, false, true));
+        assertNothingLost(outcome);
         assertTrue(outcome.served() > outcome.asked() / 2, outcome.toString());
     }
 
     @Test
-    void trial() throws IOException, InterruptedException {
-        for (int hosts : new int[] {60, 960}) {
-            play(hosts, 512, 24, true);
-        }
+    void noRequestIsLeftUnansweredWhereThousandsOfHostsHang() throws IOException, InterruptedException {
+        Outcome outcome = play(new Scene(3_200, 192, 30, 6, false, false));
+        assertNothingLost(outcome);
+    }
+
+    @Test
+    void requestsAreServedAsWellWithSixteenTimesTheHosts() {
+        assertNothingLost(usual);
+        assertNothingLost(many);
+        assertTrue(many.served() / (double) many.asked() >= 0.85 * usual.served() / usual.asked(), usual + " " + many);
+    }
+
+    @Test
+    void processorTimeDescriptorsAndListsHardlyGrowWithSixteenTimesTheHosts() {
+        double thousands = MANY_HOSTS / 1e3;
+        assertTrue(many.processorSeconds() <= 1.4 * usual.processorSeconds() + 0.02 + 0.12 * thousands, usual + " " + many);
+        assertTrue(many.descriptors() <= 2 * usual.descriptors() + 40, usual + " " + many);
+        assertTrue(many.listBytes() <= 2 * usual.listBytes() + 64_000 + 500_000 * thousands, usual + " " + many);
+    }
+
+    @Test
+    void connectionsToHostsHardlyGrowWithSixteenTimesTheHosts() {
+        assertTrue(many.connections() <= 2.5 * usual.connections() + 40, usual + " " + many);
     }
 }
