Take a changed rules file over where SIGHUP is ignored from the start

Cause: Service watches the configuration where SIGHUP cannot be heard, but not the file of rules, which was read on SIGHUP alone. Now FileWatch watches both. The test is played with SIGHUP heard and ignored; the second failed before the change and passes with it, the first as before.

--- a/cli/src/main/java/ledgewall/cli/Ledgewall.java
+++ b/cli/src/main/java/ledgewall/cli/Ledgewall.java
@@ -82,7 +82,7 @@
             if (config == null) {
                 throw new FormatException("no CONFIG, and the environment names no ROUTER_CONFIG");
             }
-            new Service(config, rules == null ? null : (settings, before) -> {
+            new Service(config, rules, rules == null ? null : (settings, before) -> {
                 try {
                     RulesFile file = RulesFile.read(rules, RulesCommand.classes(settings));
                     file.table().warnings().forEach(warning -> LOG.atWarn().addKeyValue("file", rules).log(warning));
--- a/cli/src/test/java/ledgewall/cli/ServeTest.java
+++ b/cli/src/test/java/ledgewall/cli/ServeTest.java
@@ -12,9 +12,10 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A whole process with rules, and the signals that it is sent. */
 @Timeout(60)
@@ -31,15 +32,18 @@
         assertEquals(0, new ProcessBuilder("kill", "-" + name, "" + router.pid()).start().waitFor());
     }
 
-    @Test
-    void rulesAreTakenOverOrStayAsTheyAre(@TempDir Path folder) throws IOException, InterruptedException {
+    /** Also where SIGHUP is ignored from the start, as under nohup: no handler can ever hear it then. */
+    @ParameterizedTest
+    @ValueSource(strings = {"exec \"$@\"", "trap '' HUP; exec \"$@\""})
+    void rulesAreTakenOverOrStayAsTheyAre(String shell, @TempDir Path folder) throws IOException, InterruptedException {
         Path config = folder.resolve("router.json");
         Path rules = folder.resolve("rules.hcl");
         String text = Files.readString(Path.of("deploy/rules.hcl"));
         Files.writeString(config, Files.readString(Path.of("deploy/parking.json")).replace("127.0.0.1:5433", "127.0.0.1:0"));
         Files.writeString(rules, text);
-        Process router = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Dorg.slf4j.simpleLogger.defaultLogLevel=info", "-cp", System.getProperty("java.class.path"),
+        Process router = new ProcessBuilder("/bin/sh", "-c", shell, "sh",
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Dorg.slf4j.simpleLogger.defaultLogLevel=info",
+            "-cp", System.getProperty("java.class.path"),
             "ledgewall.cli.Ledgewall", "serve", "--rules", rules.toString(), config.toString())
             .redirectErrorStream(true).start();
         // a log that never says what is awaited ends with its process
--- a/router/src/main/java/ledgewall/Main.java
+++ b/router/src/main/java/ledgewall/Main.java
@@ -50,6 +50,6 @@
         if (config == null) {
             throw new FormatException("the environment names no ROUTER_CONFIG");
         }
-        new Service(Path.of(config), null).run();
+        new Service(Path.of(config)).run();
     }
 }
--- a/router/src/main/java/ledgewall/Service.java
+++ b/router/src/main/java/ledgewall/Service.java
@@ -17,6 +17,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
 
     private final Path file;
+    private final Path rules;
     private final Classifiers classifiers;
     private Classifier classifier;
 
@@ -30,9 +31,15 @@
         Classifier read(RouterConfig config, Classifier before);
     }
 
-    /** Runs a router; with classifiers, it takes statements without the comment too. */
-    public Service(Path file, Classifiers classifiers) {
+    /** Runs a router that takes statements with the comment alone. */
+    public Service(Path file) {
+        this(file, null, null);
+    }
+
+    /** Runs a router that takes other statements too, as the classifiers that come from the file {@code rules} say. */
+    public Service(Path file, Path rules, Classifiers classifiers) {
         this.file = file;
+        this.rules = rules;
         this.classifiers = classifiers;
     }
 
@@ -45,6 +52,9 @@
             LOG.warn("SIGHUP was ignored when this process started: {} is read every {} ms instead, and taken over as it"
                 + " changes", file, FileWatch.EVERY_MILLIS);
             FileWatch.start(file, () -> reload(started.join()));
+            if (rules != null) {
+                FileWatch.start(rules, () -> reload(started.join()));
+            }
         }
         Rehearsal.run(first, Brain::new);
         Router router = Router.start(first, Brain::new, classifier);
--- a/router/src/test/java/ledgewall/discovery/ListReaderTest.java
+++ b/router/src/test/java/ledgewall/discovery/ListReaderTest.java
@@ -15,7 +15,8 @@
 
 class ListReaderTest {
     private static final String TWO = "{\n  \"revision\": 7,\n  \"complete\": true,\n  \"members\": [\n    {\n"
-        + "      \"id\": \"a\",\n      \"host_port\": \"127.0.0.1:1\"\n    }, {\"id\":\"b\",\"host_port\":\"127.0.0.1:2\",\"more\":[{}]}\n  ]\n}\n\n"
+        + "      \"id\": \"a\",\n      \"host_port\": \"127.0.0.1:1\"\n    }, "
+        + "{\"id\":\"b\",\"host_port\":\"127.0.0.1:2\",\"more\":[{}]}\n  ]\n}\n\n"
         + "{\"revision\":8,\"members\":[]}";
 
     @ParameterizedTest
