Keep a request's cost apart from the number of classes, tenants, ids and others in hand

Now deadlines stand in a due queue, ids leave oldest first and one that is over does not count, names are looked up by hash, the sum of means is kept; due queues and the loop's timers drop what was called off once it is more than half.

--- a/core/src/main/java/ledgewall/Brain.java
+++ b/core/src/main/java/ledgewall/Brain.java
@@ -73,10 +73,12 @@
     private final SplittableRandom random;
     private final long beat;
     private final double[] classMean;
+    private double sumOfMeans;
     private final long[] patience;
     private final Map<String, Member> members = new LinkedHashMap<>();
     private final Map<Long, Group> groups = new LinkedHashMap<>();
     private final Map<Long, Request> requests = new LinkedHashMap<>();
+    private final DueQueue<Request> deadlines = new DueQueue<>();
     private final Map<Integer, MachineKind> kinds = new HashMap<>();
     /** Members with attempts out; members that are gone, until nothing of theirs is out. */
     private final Set<Member> busy = new LinkedHashSet<>();
@@ -107,6 +109,7 @@
         this.remembersWrites = settings.classes().stream().anyMatch(c -> c.need() == Need.SESSION);
         this.patience = settings.classes().stream().mapToLong(RequestClass::deadline).toArray();
         this.classMean = settings.classes().stream().mapToDouble(c -> c.aim() / 4.0).toArray();
+        this.sumOfMeans = Arrays.stream(classMean).sum();
     }
 
     @Override
@@ -165,6 +168,7 @@
         Request request = request(arrival);
         request.group.onRequest(now);
         requests.put(request.id(), request);
+        deadlines.put(request, request.lastSend);
         pending.add(request);
         probes.onRequest(request, members.size(), now);
     }
@@ -355,7 +359,9 @@
         }
         switch (outcome.result()) {
             case OK -> {
-                classMean[index] += CLASS_WEIGHT * (outcome.elapsed() - classMean[index]);
+                double step = CLASS_WEIGHT * (outcome.elapsed() - classMean[index]);
+                classMean[index] += step;
+                sumOfMeans += step;
                 sample(member, strain);
                 slowStart.onServed(member, work(attempt.request()) * SECOND / MachineKind.RATE_TIME, now);
                 if (strain(member) > STRAIN_AIM) {
@@ -534,7 +540,7 @@
     }
 
     private double work(Request request) {
-        return classMean[request.classIndex()] / Arrays.stream(classMean).average().orElse(1);
+        return classMean[request.classIndex()] * classMean.length / sumOfMeans;
     }
 
     private boolean send(Request request, Member member) {
@@ -626,6 +632,7 @@
 
     private void close(Request request) {
         request.over = true;
+        deadlines.remove(request);
         if (request.out == null) {
             requests.remove(request.id());
         }
@@ -636,8 +643,7 @@
             askAt = Long.MAX_VALUE;
             actions.add(new Subscribe());
         }
-        List.copyOf(requests.values()).stream().filter(r -> !r.over && !r.begun)
-            .filter(r -> now >= (r.out == null ? r.lastSend : r.end)).forEach(this::end);
+        endOverdue();
         List.copyOf(leaving).forEach(this::forgetIfGone);
         List.copyOf(busy).stream().filter(m -> m.phase == Phase.SERVING).forEach(this::watchSilence);
         slowStart.tick(now);
@@ -646,6 +652,20 @@
         news.clear();
     }
 
+    /** Ends requests that have nothing out when no attempt may begin any more, others at their end. */
+    private void endOverdue() {
+        for (Request request = deadlines.poll(now); request != null; request = deadlines.poll(now)) {
+            if (request.over || request.begun) {
+                continue;
+            }
+            if (request.out == null || now >= request.end) {
+                end(request);
+            } else {
+                deadlines.put(request, request.end);
+            }
+        }
+    }
+
     /** Routers run for weeks, ids are new: what is gone is forgotten. Harm: one listed again is unknown. */
     private void forgetIfGone(Member member) {
         if (member.phase != Phase.GONE) {
--- a/core/src/main/java/ledgewall/DueQueue.java
+++ b/core/src/main/java/ledgewall/DueQueue.java
@@ -6,7 +6,8 @@
 
 /**
  * What is due when: each item at most once, at the time given last. Putting an item and taking one cost the logarithm of
- * their number, and asking whether anything is due costs the same however many there are.
+ * their number, and asking whether anything is due costs the same however many there are. What is removed before its time
+ * takes no memory until then.
  */
 final class DueQueue<T> {
     private record Entry<T>(long at, long number, T item) implements Comparable<Entry<T>> {
@@ -16,6 +17,8 @@
         }
     }
 
+    private static final int LEAST_COMPACTED = 64;
+
     private final PriorityQueue<Entry<T>> entries = new PriorityQueue<>();
     private final Map<T, Entry<T>> current = new HashMap<>();
     private long number;
@@ -32,17 +35,25 @@
     }
 
     void remove(T item) {
-        current.remove(item);
+        if (current.remove(item) != null && entries.size() > LEAST_COMPACTED && entries.size() > 2 * current.size()) {
+            entries.removeIf(entry -> !isLatest(entry));
+        }
+    }
+
+    /** Whether the entry stands for its item: others were removed, or put earlier since. */
+    private boolean isLatest(Entry<T> entry) {
+        Entry<T> latest = current.get(entry.item());
+        return latest != null && latest.number() == entry.number();
     }
 
     /** Takes the item that has been due for longest by now, or null. */
     T poll(long now) {
         while (!entries.isEmpty() && entries.peek().at() <= now) {
             Entry<T> entry = entries.poll();
-            Entry<T> latest = current.get(entry.item());
-            if (latest == null || latest.number() != entry.number()) {
-                continue; // removed, or put earlier since
+            if (!isLatest(entry)) {
+                continue;
             }
+            Entry<T> latest = current.get(entry.item());
             if (latest.at() <= now) {
                 current.remove(entry.item());
                 return entry.item();
@@ -52,7 +63,8 @@
         return null;
     }
 
+    /** Entries held, those that stand for nothing any more included. */
     int size() {
-        return current.size();
+        return entries.size();
     }
 }
--- a/router/src/main/java/ledgewall/net/Desk.java
+++ b/router/src/main/java/ledgewall/net/Desk.java
@@ -17,7 +17,6 @@
 import ledgewall.pg.Reply;
 import ledgewall.pg.SqlState;
 import ledgewall.pg.Statement;
-import ledgewall.settings.Vocabulary;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -40,7 +39,8 @@
     private final Wiring wiring;
     private final RoutingPolicy.Settings settings;
     private final Members members;
-    private final Vocabulary vocabulary;
+    private final Map<String, Integer> classes;
+    private final Map<String, Integer> tenants;
     private final long answerSlack;
     private final Map<Long, ClientRequest> requests = new HashMap<>();
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
@@ -61,10 +61,19 @@
         this.wiring = wiring;
         this.settings = config.settings();
         this.members = members;
-        this.vocabulary = config.vocabulary();
+        this.classes = indexes(config.vocabulary().classes());
+        this.tenants = indexes(config.vocabulary().tenants());
         this.answerSlack = config.transport().answerSlack();
     }
 
+    private static Map<String, Integer> indexes(List<String> names) {
+        Map<String, Integer> indexes = new HashMap<>();
+        for (int i = 0; i < names.size(); i++) {
+            indexes.putIfAbsent(names.get(i), i);
+        }
+        return indexes;
+    }
+
     @Override
     public ClientConnection.Admission admit(ClientConnection connection) {
         if (clients.size() >= wiring.descriptors().forRequests()) {
@@ -157,7 +166,10 @@
         while (!wiring.descriptors().roomForTraffic() && makeRoom()) {
             continue; // until there is room for the next, or all are in use
         }
-        ids.values().removeIf(until -> until <= now);
+        Iterator<Long> ends = ids.values().iterator();
+        while (ends.hasNext() && ends.next() <= now) {
+            ends.remove(); // the oldest first: a later one waits for those before it, as far as there is room
+        }
     }
 
     /** Has another classifier say what requests are from now on; those in hand keep what was said. */
@@ -198,10 +210,10 @@
         long deadline = at + Clock.millis(Math.min(statement.waitMillis(), LONGEST_WAIT_MILLIS));
         ClientRequest request = new ClientRequest(++lastNumber, statement, deadline, slot);
         request.whenOver(over);
-        int index = vocabulary.classes().indexOf(statement.className());
+        int index = classes.getOrDefault(statement.className(), -1);
         String wrong = index < 0 ? "unknown class" : statement.waitMillis() == 0 ? "no time to answer in"
             : !members.knowsGroup(statement.group()) ? "unknown cluster"
-            : ids.containsKey(statement.id()) ? "this id is in use" : null;
+            : ids.getOrDefault(statement.id(), Long.MIN_VALUE) > wiring.loop().now() ? "this id is in use" : null;
         if (wrong != null) {
             wiring.counters().add(Counters.Count.BAD_QUERIES);
             request.answer(withReady(MessageWriter.error(SqlState.SYNTAX_ERROR, wrong)));
@@ -217,6 +229,7 @@
     }
 
     private void remember(String id, long until) {
+        ids.remove(id);
         ids.put(id, until);
         if (ids.size() > MOST_IDS) {
             ids.remove(ids.keySet().iterator().next());
@@ -238,8 +251,7 @@
 
     /** Tenants that the settings don't list share the index behind theirs: whoever makes names up gets no memory. */
     private int tenant(String name) {
-        int index = name.isEmpty() ? 0 : vocabulary.tenants().indexOf(name);
-        return index < 0 ? vocabulary.tenants().size() : index;
+        return name.isEmpty() ? 0 : tenants.getOrDefault(name, settings.tenants().size());
     }
 
     /** The policy has left a request without an answer for too long: the client is told so. */
--- a/router/src/main/java/ledgewall/net/EventLoop.java
+++ b/router/src/main/java/ledgewall/net/EventLoop.java
@@ -22,6 +22,7 @@
     /** A turn that begins this long after its first timer was due is counted as late. */
     private static final long LATE = Clock.millis(20);
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final int LEAST_DROPPED = 256;
 
     private final Clock clock;
     private final Counters counters;
@@ -34,12 +35,14 @@
     private Runnable catchUp = () -> { };
     private long now;
     private long timerNumber;
+    /** Timers called off that are still in the queue. */
+    private int cancelled;
     private long busy;
     private long longestTurn;
     private volatile boolean stopped;
 
     /** Something that is to be done at a time, unless it is called off before. */
-    static final class Timer implements Comparable<Timer> {
+    final class Timer implements Comparable<Timer> {
         private final long at;
         private final long number;
         private Runnable task;
@@ -51,7 +54,11 @@
         }
 
         void cancel() {
-            task = null;
+            if (task != null) {
+                task = null;
+                cancelled++;
+                dropManyCancelled();
+            }
         }
 
         @Override
@@ -166,9 +173,23 @@
     private void dropCancelled() {
         while (!timers.isEmpty() && timers.peek().task == null) {
             timers.poll();
+            cancelled--;
+        }
+    }
+
+    /** Timers far ahead that were called off take no memory until then. */
+    private void dropManyCancelled() {
+        if (cancelled > LEAST_DROPPED && cancelled > timers.size() / 2) {
+            timers.removeIf(timer -> timer.task == null);
+            cancelled = 0;
         }
     }
 
+    /** Timers in the queue, those called off included. */
+    int timers() {
+        return timers.size();
+    }
+
     private boolean isLate() {
         dropCancelled();
         return !timers.isEmpty() && timers.peek().at < clock.now() - LATE;
@@ -177,8 +198,12 @@
     private void runTimers() {
         while (!timers.isEmpty() && timers.peek().at <= now) {
             Timer timer = timers.poll();
-            if (timer.task != null) {
-                guarded(timer.task);
+            Runnable task = timer.task;
+            if (task == null) {
+                cancelled--;
+            } else {
+                timer.task = null;
+                guarded(task);
             }
         }
     }
--- a/router/src/test/java/ledgewall/net/PartsTest.java
+++ b/router/src/test/java/ledgewall/net/PartsTest.java
@@ -141,4 +141,17 @@
         assertEquals(List.of(List.of(new Lapsed(1), new Lapsed(2), new RoutingPolicy.TimerDue(7))), batches);
         assertEquals(1, counters.of(Counters.Count.BATCHES));
     }
+
+    @Test
+    void timersThatAreCalledOffTakeNoMemoryUntilTheirTime() {
+        EventLoop loop = new EventLoop(Clock.ofSystem(), new Counters());
+        EventLoop.Timer kept = loop.in(Rig.MS, () -> { });
+        for (int i = 0; i < 10_000; i++) {
+            loop.in(24 * 3_600_000L * Rig.MS, () -> { }).cancel();
+        }
+        assertTrue(loop.timers() < 1_000, "timers " + loop.timers());
+        kept.cancel();
+        kept.cancel();
+        assertTrue(loop.timers() >= 1);
+    }
 }
