Ask one replica for its position on behalf of a read that needs it proven

Cause: a router knew the positions it needed only by probing all members all the time, which costs in proportion to the fleet. Now a session's read, or a bounded one that members would answer from stale data, has one replica asked for its position, is held for a twentieth of its aim at most, and goes there; one probe a read, of which later reads make use. Rounds of routers that do not share are one in ten requests beside the fleet's 40 a second.

--- a/core/src/main/java/ledgewall/Brain.java
+++ b/core/src/main/java/ledgewall/Brain.java
@@ -465,6 +465,9 @@
         if (!replicas.isEmpty()) {
             return drawNearFastest(request, replicas);
         }
+        if (freshness.isProvenByProbe(request) && awaitsPosition(request)) {
+            return null;
+        }
         // Then the primary; where nobody looks well, doubt the judgement rather than the members.
         boolean doubt = group.members.stream().noneMatch(this::healthy);
         return candidates(request, doubt ? m -> freshness.isEligible(request, m, now) && now >= m.trialAt + TRIAL_GAP
@@ -472,6 +475,28 @@
             .stream().findFirst().orElse(null);
     }
 
+    /**
+     * Whether a replica has been asked for its position, on behalf of this read or another, and may still tell it in time:
+     * many routers cannot know all positions all the time, and without them all reads would crowd the primaries.
+     */
+    private boolean awaitsPosition(Request request) {
+        if (!worthHolding(request)) {
+            return false;
+        }
+        if (request.asked == null) {
+            List<Member> replicas = new ArrayList<>(request.group.members.stream()
+                .filter(m -> m != request.group.primary && !request.tried.contains(m) && healthy(m) && room(request, m, 1))
+                .toList());
+            if (replicas.isEmpty()) {
+                return false;
+            }
+            request.asked = replicas.stream().filter(m -> m.probing).findFirst()
+                .orElseGet(() -> drawNearFastest(request, replicas));
+            probes.askPosition(request.asked, now);
+        }
+        return request.asked.probing;
+    }
+
     /** The design's draw, without members that are clearly more crowded than the best. */
     private Member drawNearFastest(Request request, List<Member> replicas) {
         double margin = PING_MARGIN * classMean[request.classIndex()];
--- a/core/src/main/java/ledgewall/Freshness.java
+++ b/core/src/main/java/ledgewall/Freshness.java
@@ -8,12 +8,17 @@
     private static final double NEAR_BOUND = 0.33;
 
     private final Data data;
+    private final boolean probesTell;
+    /** Whether so many routers share the members that each asks for a position only when a read has need of it. */
+    private final boolean manyRouters;
     /** How long a position that was heard tells something, in nanoseconds. */
     private final long evidenceLasts;
     private final long tightestBound;
 
     Freshness(Settings settings, boolean shared) {
         this.data = settings.data();
+        this.probesTell = settings.limits().probes() && settings.data().probesTellPosition();
+        this.manyRouters = settings.routers() > ProbeScheduler.HANDFUL;
         this.evidenceLasts = (shared ? 2 : 1) * ProbeScheduler.PERIOD + ProbeScheduler.URGENT_GAP;
         this.tightestBound = settings.classes().stream().filter(c -> c.need() == Need.BOUNDED)
             .mapToLong(RequestClass::stalenessBound).min().orElse(Long.MAX_VALUE);
@@ -29,9 +34,16 @@
         };
     }
 
-    /** Whether no replica can serve a request unless its position is known. */
+    /** Whether only the primary can serve a request. */
     boolean needsPrimary(Request request) {
-        return request.kind.need() == Need.WRITE || request.kind.need() != Need.ANY && !triesUnproven(request);
+        return request.kind.need() == Need.WRITE || request.kind.need() == Need.FRESH
+            || request.kind.need() != Need.ANY && !triesUnproven(request) && !isProvenByProbe(request);
+    }
+
+    /** Whether a replica is asked for its position on behalf of a read; a handful of routers know positions anyway. */
+    boolean isProvenByProbe(Request request) {
+        return manyRouters && probesTell && (request.kind.need() == Need.SESSION
+            || request.kind.need() == Need.BOUNDED && !triesUnproven(request));
     }
 
     /**
@@ -44,8 +56,8 @@
 
     /** Whether reads of the tightest bound may soon miss at the member, so that its position is worth a probe. */
     boolean isNearBound(Member member, long now) {
-        return data.probesTellPosition() && lag(member, now) > NEAR_BOUND * tightestBound
-            && (data.behind() != Behind.REFUSES || hasEvidence(member, now) || hasMissed(member, now));
+        boolean tells = data.behind() == Behind.REFUSES ? hasEvidence(member, now) || hasMissed(member, now) : !manyRouters;
+        return tells && data.probesTellPosition() && lag(member, now) > NEAR_BOUND * tightestBound;
     }
 
     /** Whether anything was heard of the member's position that still tells something. */
--- a/core/src/main/java/ledgewall/ProbeScheduler.java
+++ b/core/src/main/java/ledgewall/ProbeScheduler.java
@@ -34,6 +34,8 @@
     /** Probes that a request may bring about in the mean, and how many at once after a quiet time. */
     private static final double PROBES_PER_REQUEST = 0.25;
     private static final double DEMAND_BURST = 40;
+    /** Rounds that a request may bring about in the mean where routers do not share what they find. */
+    private static final double ROUNDS_PER_REQUEST = 0.1;
     /** Findings a second that a router is to hear of all others; changes of a primary come beside them. */
     private static final double FLEET_FINDINGS = 40;
     private static final double FINDING_BURST = 10;
@@ -78,6 +80,7 @@
     /** A request has come: its group's members are probed where that is due or wanted. */
     void onRequest(Request request, int members, long now) {
         demand.add(PROBES_PER_REQUEST);
+        background.add(shared ? 0 : ROUNDS_PER_REQUEST);
         request.group.members.forEach(member -> probeOnDemand(member, members, now));
         if (freshness.needsPrimary(request)) {
             searchPrimary(request.group, now);
@@ -142,13 +145,20 @@
         }
         boolean wanted = member.group.askedAt > member.probedAt
             && (member.down || member.suspectSince != RoutingPolicy.NONE || freshness.isNearBound(member, now));
-        if (!shared && now >= member.roundDue && take(now)) {
+        if (!shared && now >= member.roundDue && background.tryTake(now)) {
             startRound(member, members, now);
         } else if (wanted) {
             urgent(member, now);
         }
     }
 
+    /** Asks a member for its position on behalf of one read; a request brings about one such probe at most. */
+    void askPosition(Member member, long now) {
+        if (!member.probing) {
+            probe(member, now);
+        }
+    }
+
     /** Probes as soon as the member's gap between urgent probes is over. */
     void urgent(Member member, long now) {
         if (member.probing || member.phase != Phase.SERVING) {
--- a/core/src/main/java/ledgewall/Request.java
+++ b/core/src/main/java/ledgewall/Request.java
@@ -21,6 +21,8 @@
     /** The attempt that is out, and the first that may have run. */
     Attempt out;
     Attempt mayHaveRun;
+    /** The replica that was asked for its position on behalf of this read, or null. */
+    Member asked;
     boolean begun;
     boolean over;
 
--- a/core/src/test/java/ledgewall/FleetCostTest.java
+++ b/core/src/test/java/ledgewall/FleetCostTest.java
@@ -1,10 +1,13 @@
 package ledgewall;
 
 import static ledgewall.Bench.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.sun.management.ThreadMXBean;
 import java.lang.management.ManagementFactory;
+import java.util.List;
+import ledgewall.RoutingPolicy.*;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -12,6 +15,7 @@
 /** What decisions cost a router of a hundred with the usual number of members and with sixteen times as many. */
 class FleetCostTest {
     private static final int ROUTERS = 100;
+    private static final int RANK = 7;
     private static final int GROUPS = 17;
     private static final int TIMES = 16;
     private static final double RATE = 1_200;
@@ -52,4 +56,17 @@
         double rounds = 40;
         assertTrue(fleet.probesBy.get(0) <= rounds * (DAY / SECOND + 1), "probes " + fleet.probesBy);
     }
+
+    @Test
+    void aReadThatNeedsAProvenPositionAsksOneReplicaForItAndGoesThere() {
+        Settings few = Bench.settings(Effect.AT_MOST_ONCE, Behind.ANSWERS, false);
+        Bench bench = new Bench(new Settings(ROUTERS, RANK, 0, few.tick(), false, few.classes(), few.tenants(), 1, few.limits(),
+            few.data(), few.rules())).ready();
+        bench.now += 3 * SECOND;
+        List<Action> actions = bench.ask(Bench.BOUNDED);
+        assertEquals(List.of(), Bench.sends(actions));
+        List<String> probed = actions.stream().filter(Probe.class::isInstance).map(a -> ((Probe) a).member()).toList();
+        assertEquals(1, probed.size());
+        assertEquals(probed, Bench.sends(bench.echo(probed.get(0), Role.REPLICA, bench.now)));
+    }
 }
