--- a/router/src/test/java/ledgewall/fleet/ClientCrowd.java
+++ b/router/src/test/java/ledgewall/fleet/ClientCrowd.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.SocketException;
+import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.ConcurrentLinkedDeque;
@@ -20,6 +21,7 @@
     /** A client waits so long after its request's time for the final answer that it is owed. */
     private static final long PATIENCE_MS = 550;
     private static final int MOST_KEPT = 16;
+    private static final int STEP_MS = 10;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private final InetSocketAddress router;
@@ -33,6 +35,7 @@
     private final ConcurrentLinkedDeque<Client> free = new ConcurrentLinkedDeque<>();
     private final AtomicInteger asked = new AtomicInteger();
     private final AtomicInteger served = new AtomicInteger();
+    private final AtomicInteger inHand = new AtomicInteger();
     private final List<String> lost = new CopyOnWriteArrayList<>();
 
     ClientCrowd(InetSocketAddress router, int groups, long seed) {
@@ -50,18 +53,59 @@
             boolean fresh = random.nextInt(3) == 0;
             String className = random.nextInt(3) == 0 ? "put" : "look";
             int group = random.nextInt(groups);
+            inHand.incrementAndGet();
             threads.execute(() -> ask(fresh, className, group, waitMs));
         }
+        awaitAnswers(waitMs);
+    }
+
+    /**
+     * Asks every few milliseconds on the connections that stay open, and for a while on new ones too. A connection that ends
+     * without an answer was closed at rest; a request that waits too long is lost.
+     */
+    void runUntilClosed(int connectingMs, int longestMs, int waitMs) throws InterruptedException {
+        long start = System.nanoTime();
+        long now = start;
+        while (now - start < TimeUnit.MILLISECONDS.toNanos(longestMs)) {
+            boolean connects = now - start < TimeUnit.MILLISECONDS.toNanos(connectingMs);
+            int group = random.nextInt(groups);
+            threads.execute(() -> askOnce(connects, group, waitMs));
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(STEP_MS));
+            now = System.nanoTime();
+        }
         threads.shutdown();
-        threads.awaitTermination(waitMs + 2 * PATIENCE_MS, TimeUnit.MILLISECONDS);
+        awaitAnswers(waitMs);
+    }
+
+    private void awaitAnswers(int waitMs) throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs + 2 * PATIENCE_MS);
+        while (inHand.get() > 0 && System.nanoTime() < end) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(STEP_MS));
+        }
+    }
+
+    private void askOnce(boolean connects, int group, int waitMs) {
+        inHand.incrementAndGet();
+        String id = "q" + asked.incrementAndGet();
+        try {
+            Client kept = free.poll();
+            if (kept != null || connects) {
+                answered(kept != null ? kept : connect(), waitMs, query(id, "look", group, waitMs));
+            }
+        } catch (SocketTimeoutException e) {
+            lost.add(id + " of group " + group + " while the router ends: " + e);
+        } catch (IOException e) {
+            // it accepts no more
+        } finally {
+            inHand.decrementAndGet();
+        }
     }
 
     private void ask(boolean fresh, String className, int group, int waitMs) {
         String id = "q" + asked.incrementAndGet();
         long begun = System.nanoTime();
         Client kept = fresh ? null : free.poll();
-        byte[] query = Wire.query("/* id=" + id + ",c=" + className + ",t=acme,d=" + waitMs + ",cluster=" + group
-            + " */ SELECT data FROM facts WHERE code = 'k1'");
+        byte[] query = query(id, className, group, waitMs);
         try {
             boolean answered = kept != null && answered(kept, waitMs, query);
             if (!answered && !answered(connect(), waitMs, query)) {
@@ -69,9 +113,16 @@
             }
         } catch (IOException e) {
             lost.add(id + " of group " + group + " after " + (System.nanoTime() - begun) / NANOS_PER_MILLI + " ms: " + e);
+        } finally {
+            inHand.decrementAndGet();
         }
     }
 
+    private static byte[] query(String id, String className, int group, int waitMs) {
+        return Wire.query("/* id=" + id + ",c=" + className + ",t=acme,d=" + waitMs + ",cluster=" + group
+            + " */ SELECT data FROM facts WHERE code = 'k1'");
+    }
+
     private Client connect() throws IOException {
         Client client = new Client(router);
         client.send(Wire.startup("user", "u", "database", "d"));
--- a/router/src/test/java/ledgewall/fleet/FleetSizeTest.java
+++ b/router/src/test/java/ledgewall/fleet/FleetSizeTest.java
@@ -20,9 +20,7 @@
  */
 @Timeout(180)
 class FleetSizeTest {
-    private static final int ROUTERS = 100;
-    private static final int RANK = 7;
-    private static final int GROUP = 4;
+    private static final int GROUP = FleetConfig.GROUP;
     private static final int USUAL_HOSTS = 60;
     private static final int MANY_HOSTS = 16 * USUAL_HOSTS;
     private static final int SOCKETS = 512;
@@ -40,25 +38,26 @@
                            int connections, long listBytes) { }
 
     /** A fleet of so many hosts and what happens there. */
-    private record Scene(int hosts, int sockets, int perSecond, int seconds, boolean fellows, boolean answering) { }
+    private record Scene(int hosts, int sockets, int perSecond, int seconds, boolean fellows, HostFarm.Mood mood) { }
 
     @BeforeAll
     static void playBothSizes() throws IOException, InterruptedException {
-        usual = play(new Scene(USUAL_HOSTS, SOCKETS, PER_SECOND, SECONDS, true, true));
-        many = play(new Scene(MANY_HOSTS, SOCKETS, PER_SECOND, SECONDS, true, true));
+        usual = play(new Scene(USUAL_HOSTS, SOCKETS, PER_SECOND, SECONDS, true, HostFarm.Mood.WELL));
+        many = play(new Scene(MANY_HOSTS, SOCKETS, PER_SECOND, SECONDS, true, HostFarm.Mood.WELL));
     }
 
     private static Outcome play(Scene scene) throws IOException, InterruptedException {
         try (HostFarm primaries = new HostFarm(true); HostFarm replicas = new HostFarm(false);
-                FellowRouters fellows = new FellowRouters(ROUTERS, RANK)) {
-            primaries.answering(scene.answering());
-            replicas.answering(scene.answering());
+                FellowRouters fellows = new FellowRouters(FleetConfig.ROUTERS, FleetConfig.RANK)) {
+            primaries.mood(scene.mood());
+            replicas.mood(scene.mood());
             List<String> entries = new ArrayList<>();
             for (int i = 0; i < scene.hosts(); i++) {
-                entries.add(entry(i, (i % GROUP == 0 ? primaries : replicas).address(), 0));
+                entries.add(FleetConfig.entry(i, (i % GROUP == 0 ? primaries : replicas).address(), 0));
             }
             try (MemberDirectory directory = new MemberDirectory(entries);
-                    RouterProcess router = new RouterProcess(folder, config(directory, scene, fellows.config()));
+                    RouterProcess router = new RouterProcess(folder,
+                        FleetConfig.router(directory, scene.sockets(), scene.fellows() ? fellows.config() : ""));
                     ClientCrowd clients = new ClientCrowd(router.address(), scene.hosts() / GROUP, SEED)) {
                 double before = router.processorSeconds();
                 fellows.tellPrimaries(IntStream.range(0, scene.hosts() / GROUP).mapToObj(i -> "s-" + i * GROUP).toList());
@@ -81,12 +80,12 @@
             for (int second = 2; second < scene.seconds(); second += 2) {
                 Thread.sleep(2_000);
                 int member = (second * GROUP + 1) % scene.hosts();
-                directory.change(List.of(entry(member, replicas.address(), System.currentTimeMillis())));
+                directory.change(List.of(FleetConfig.entry(member, replicas.address(), System.currentTimeMillis())));
                 if (second == scene.seconds() / 2) {
                     List<String> changed = new ArrayList<>();
                     for (int group = 0; group < Math.min(11, scene.hosts() / GROUP); group++) {
-                        changed.add(entry(group * GROUP, replicas.address(), 0));
-                        changed.add(entry(group * GROUP + 1, primaries.address(), 0));
+                        changed.add(FleetConfig.entry(group * GROUP, replicas.address(), 0));
+                        changed.add(FleetConfig.entry(group * GROUP + 1, primaries.address(), 0));
                     }
                     directory.change(changed);
                 }
@@ -96,24 +95,6 @@
         }
     }
 
-    private static String entry(int host, String address, long startedAt) {
-        return "{\"id\":\"s-" + host + "\",\"host_port\":\"" + address + "\",\"locality\":\"south\",\"flavor\":\"small\","
-            + "\"cell\":" + host / GROUP + ",\"phase\":\"Ready\",\"size\":1.0,\"up_since_ms\":" + startedAt + "}";
-    }
-
-    private static String config(MemberDirectory directory, Scene scene, String fellows) {
-        return "{\"name\":\"r1\",\"listen\":\"%s\",\"discovery\":\"" + directory.address() + "\",\"seed\":\"1c\","
-            + (scene.fellows() ? fellows : "") + "\"limits\":{\"sockets\":" + scene.sockets() + "},\"known\":" + directory.whole()
-            + ",\"settings\":{\"peersTotal\":" + ROUTERS + ",\"rank\":" + RANK
-            + ",\"areas\":[\"north\",\"south\"],\"kinds\":[\"small\"],\"discovery\":\"push\",\"ceilings\":{\"maxAttempts\":10,"
-            + "\"cancel\":true,\"probing\":true,\"peers\":" + scene.fellows() + ",\"connIdleNs\":30000000000,"
-            + "\"connectTimeoutNs\":250000000},\"report\":{\"how\":\"probe\",\"fields\":[\"x0\",\"x1\"]},"
-            + "\"rules\":{\"answerSlackNs\":20000000,\"stopSendingWithinNs\":2000000000,\"overloadWindowNs\":3000000000},"
-            + "\"domain\":{\"needsByClass\":[\"any\",\"write\"],\"behind\":\"refuse\"},"
-            + "\"classes\":[{\"name\":\"look\",\"effect\":\"idempotent\",\"aimNs\":300000000,\"deadlineNs\":800000000},"
-            + "{\"name\":\"put\",\"effect\":\"at_most_once\",\"aimNs\":300000000,\"deadlineNs\":800000000}]}}";
-    }
-
     private static void assertNothingLost(Outcome outcome) {
         assertEquals(0, outcome.lost().size(), () -> outcome.lost().stream().limit(5).toList().toString());
     }
@@ -121,14 +102,14 @@
     @Test
     void noRequestIsLeftUnansweredWhereConnectionsToThousandsOfHostsCouldFillTheDescriptors()
             throws IOException, InterruptedException {
-        Outcome outcome = play(new Scene(3_200, 192, 30, 12, false, true));
+        Outcome outcome = play(new Scene(3_200, 192, 30, 12, false, HostFarm.Mood.WELL));
         assertNothingLost(outcome);
         assertTrue(outcome.served() > outcome.asked() / 2, outcome.toString());
     }
 
     @Test
     void noRequestIsLeftUnansweredWhereThousandsOfHostsHang() throws IOException, InterruptedException {
-        Outcome outcome = play(new Scene(3_200, 192, 30, 6, false, false));
+        Outcome outcome = play(new Scene(3_200, 192, 30, 6, false, HostFarm.Mood.HANGS));
         assertNothingLost(outcome);
     }
 
--- a/router/src/test/java/ledgewall/fleet/RouterProcess.java
+++ b/router/src/test/java/ledgewall/fleet/RouterProcess.java
@@ -75,19 +75,21 @@
         }
     }
 
-    /** Ends the process by SIGTERM; the value of a counter in its last line, 0 where it has not counted. */
-    void stop() throws InterruptedException {
+    /** Sends SIGHUP. */
+    void hangUp() throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-HUP", "" + process.pid()).start().waitFor();
+    }
+
+    /** Sends SIGTERM. */
+    void terminate() {
         process.destroy();
-        process.waitFor(20, TimeUnit.SECONDS);
     }
 
-    long counter(String name) throws IOException {
-        String text = log();
-        int at = text.lastIndexOf(" " + name + "=");
-        if (at < 0) {
-            return 0;
-        }
-        return Long.parseLong(text.substring(at + name.length() + 2).split("[^0-9]", 2)[0]);
+    /** Whether the process ends by that time, in nanoseconds; it is killed if not. */
+    boolean endsBy(long time) throws InterruptedException {
+        boolean ended = process.waitFor(Math.max(1, time - System.nanoTime()), TimeUnit.NANOSECONDS);
+        process.destroyForcibly();
+        return ended;
     }
 
     @Override
--- a/router/src/test/java/ledgewall/standin/HostFarm.java
+++ b/router/src/test/java/ledgewall/standin/HostFarm.java
@@ -25,7 +25,18 @@
     private final AtomicInteger open = new AtomicInteger();
     private final AtomicLong probes = new AtomicLong();
     private final AtomicLong requests = new AtomicLong();
-    private volatile boolean answering = true;
+    private volatile Mood mood = Mood.WELL;
+
+    /** What hosts do with connections and queries that come now. */
+    public enum Mood {
+        WELL,
+        /** Connections are accepted, and nothing is said. */
+        HANGS,
+        /** Each query, and each new connection, is reset. */
+        RESETS,
+        /** Connections are refused with the code of too many. */
+        FULL
+    }
 
     /** What one connection has sent and not been answered. */
     private static final class Conversation {
@@ -47,9 +58,8 @@
         return "127.0.0.1:" + server.socket().getLocalPort();
     }
 
-    /** From now on hosts accept connections and say nothing, or answer again. */
-    public void answering(boolean answers) {
-        answering = answers;
+    public void mood(Mood now) {
+        mood = now;
     }
 
     public int connections() {
@@ -136,9 +146,14 @@
         }
         byte[] message = new byte[header + in.getInt(in.position() + header)];
         in.get(message);
-        byte[] reply = conversation.started ? reply(message) : Wire.welcome();
+        if (mood == Mood.RESETS) {
+            channel.socket().setSoLinger(true, 0);
+            throw new IOException("reset");
+        }
+        byte[] greeting = mood == Mood.FULL ? Wire.error("53300") : Wire.welcome();
+        byte[] reply = conversation.started ? reply(message) : greeting;
         conversation.started = true;
-        if (answering && reply.length > 0) {
+        if (mood != Mood.HANGS && reply.length > 0) {
             channel.write(ByteBuffer.wrap(reply));
         }
         return true;
