--- a/cli/src/main/java/ledgewall/cli/Ledgewall.java
+++ b/cli/src/main/java/ledgewall/cli/Ledgewall.java
@@ -5,7 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.Callable;
-import ledgewall.Brain;
+import ledgewall.ReplicaRoutingPolicy;
 import ledgewall.Service;
 import ledgewall.net.RouterConfig;
 import ledgewall.settings.FormatException;
@@ -105,7 +105,7 @@
     static final class Simhost implements Callable<Integer> {
         @Override
         public Integer call() throws IOException {
-            new SimHost(Brain::new).serve(System.in, System.out);
+            new SimHost(ReplicaRoutingPolicy::new).serve(System.in, System.out);
             return 0;
         }
     }
--- a/cli/src/test/java/ledgewall/cli/ClassificationLatencyTest.java
+++ b/cli/src/test/java/ledgewall/cli/ClassificationLatencyTest.java
@@ -10,7 +10,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
-import ledgewall.Brain;
+import ledgewall.ReplicaRoutingPolicy;
 import ledgewall.net.Router;
 import ledgewall.net.RouterConfig;
 import ledgewall.standin.Client;
@@ -46,8 +46,8 @@
                 .replace("127.0.0.1:5442", host.address()));
             RouterConfig config = RouterConfig.read(file);
             RulesFile rules = RulesFile.read(Path.of("deploy/rules.hcl"), Set.copyOf(config.vocabulary().classes()));
-            try (Router plain = Router.start(config, Brain::new);
-                    Router ruled = Router.start(config, Brain::new, new RuleClassifier(rules, config, null));
+            try (Router plain = Router.start(config, ReplicaRoutingPolicy::new);
+                    Router ruled = Router.start(config, ReplicaRoutingPolicy::new, new RuleClassifier(rules, config, null));
                     Client commented = new Client(plain.listening()); Client bare = new Client(ruled.listening())) {
                 for (Client client : List.of(commented, bare)) {
                     client.send(Wire.startup("user", "desk"));
--- a/cli/src/test/java/ledgewall/cli/EndToEndTest.java
+++ b/cli/src/test/java/ledgewall/cli/EndToEndTest.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
-import ledgewall.Brain;
+import ledgewall.ReplicaRoutingPolicy;
 import ledgewall.net.Router;
 import ledgewall.net.RouterConfig;
 import ledgewall.standin.Client;
@@ -77,7 +77,7 @@
             .replace("127.0.0.1:5442", replica.address()));
         config = RouterConfig.read(file);
         classifier = new RuleClassifier(rules(Files.readString(Path.of("deploy/rules.hcl"))), config, null);
-        router = Router.start(config, Brain::new, classifier);
+        router = Router.start(config, ReplicaRoutingPolicy::new, classifier);
     }
 
     private RulesFile rules(String text) throws SettingsException {
--- a/core/src/main/java/ledgewall/PeerNews.java
+++ b/core/src/main/java/ledgewall/GossipMessage.java
@@ -13,7 +13,7 @@
  * @param zone     the zone of the router that probed, from which {@code ping} was measured
  * @param findings in the order in which they were found
  */
-record PeerNews(int zone, List<Finding> findings) {
+record GossipMessage(int zone, List<Finding> findings) {
     /** The longest datagram between routers, in bytes. */
     static final int LONGEST = 256;
     private static final byte VERSION = 1;
@@ -68,17 +68,17 @@
     }
 
     /** What a datagram tells; nothing at all where any of it cannot be read. */
-    static PeerNews decode(byte[] datagram) {
+    static GossipMessage decode(byte[] datagram) {
         List<Finding> findings = new ArrayList<>();
         ByteBuffer buffer = ByteBuffer.wrap(datagram);
         if (datagram.length < HEADER || datagram.length > LONGEST || buffer.get() != VERSION) {
-            return new PeerNews(0, List.of());
+            return new GossipMessage(0, List.of());
         }
         int zone = buffer.get();
         while (buffer.hasRemaining()) {
             byte[] id = new byte[Byte.toUnsignedInt(buffer.get())];
             if (buffer.remaining() < id.length + FIXED - 1) {
-                return new PeerNews(zone, List.of());
+                return new GossipMessage(zone, List.of());
             }
             buffer.get(id);
             int role = buffer.get();
@@ -86,11 +86,11 @@
             int lag = buffer.getInt();
             int ping = buffer.getInt();
             if (role < 0 || role >= ROLES.length || lag < -1 || ping < 0) {
-                return new PeerNews(zone, List.of());
+                return new GossipMessage(zone, List.of());
             }
             findings.add(new Finding(new String(id, StandardCharsets.UTF_8), ROLES[role], at,
                 lag < 0 ? RoutingPolicy.NONE : at - lag * MILLI, ping * MICRO));
         }
-        return new PeerNews(zone, findings);
+        return new GossipMessage(zone, findings);
     }
 }
--- a/core/src/main/java/ledgewall/Brain.java
+++ b/core/src/main/java/ledgewall/ReplicaRoutingPolicy.java
@@ -20,7 +20,7 @@
  * read goes to a random eligible replica among the near-fastest, then the next, then the primary; a write to
  * the member last seen as primary. All else is an exception that says what it guards against.
  */
-public final class Brain implements RoutingPolicy {
+public final class ReplicaRoutingPolicy implements RoutingPolicy {
     private static final long MS = 1_000_000L;
     private static final long SECOND = 1_000 * MS;
 
@@ -71,7 +71,7 @@
 
     private final Settings settings;
     private final SplittableRandom random;
-    private final long beat;
+    private final long tick;
     private final double[] classMean;
     private double sumOfMeans;
     private final long[] patience;
@@ -92,20 +92,25 @@
     private final Map<Long, Long> lastWrites = new LinkedHashMap<>();
     private final List<Request> pending = new ArrayList<>();
     private final boolean shared;
-    private final List<PeerNews.Finding> news = new ArrayList<>();
+    private final List<GossipMessage.Finding> news = new ArrayList<>();
     private List<Action> actions = new ArrayList<>();
-    private boolean stood, remembersWrites;
-    private long stoodAt = Long.MIN_VALUE;
-    private long now, startedAt = Long.MIN_VALUE, nextBeat = Long.MIN_VALUE;
-    private long askAt = Long.MAX_VALUE, askWait = ASK_AGAIN, forgotten = Long.MIN_VALUE;
-
-    public Brain(Settings settings, long seed) {
+    private boolean clockStalled;
+    private boolean remembersWrites;
+    private long clockStalledAt = Long.MIN_VALUE;
+    private long now;
+    private long startedAt = Long.MIN_VALUE;
+    private long nextTick = Long.MIN_VALUE;
+    private long askAt = Long.MAX_VALUE;
+    private long askWait = ASK_AGAIN;
+    private long forgotten = Long.MIN_VALUE;
+
+    public ReplicaRoutingPolicy(Settings settings, long seed) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
         this.shared = ProbeScheduler.isShared(settings);
         this.freshness = new Freshness(settings, shared);
         this.slowStart = new SlowStart(settings);
-        this.beat = Math.max(2 * settings.tick(), 10 * MS);
+        this.tick = Math.max(2 * settings.tick(), 10 * MS);
         this.remembersWrites = settings.classes().stream().anyMatch(c -> c.need() == Need.SESSION);
         this.patience = settings.classes().stream().mapToLong(RequestClass::deadline).toArray();
         this.classMean = settings.classes().stream().mapToDouble(c -> c.aim() / 4.0).toArray();
@@ -120,14 +125,14 @@
             start();
         }
         // The router's own pause, told by its late timer, is no slowness of members. Harm: one batch unread.
-        stood = now > nextBeat + STANDSTILL;
-        stoodAt = stood ? now : stoodAt;
-        events.forEach(this::learn);
-        if (now >= nextBeat) {
+        clockStalled = now > nextTick + STANDSTILL;
+        clockStalledAt = clockStalled ? now : clockStalledAt;
+        events.forEach(this::onEvent);
+        if (now >= nextTick) {
             touched.addAll(holding);
-            beat();
-            nextBeat = now + beat;
-            actions.add(new SetTimer(nextBeat, 0));
+            onTick();
+            nextTick = now + tick;
+            actions.add(new SetTimer(nextTick, 0));
         }
         touched.stream().filter(holding::remove).forEach(this::resume);
         touched.clear();
@@ -137,22 +142,22 @@
     }
 
     private void start() {
-        startedAt = nextBeat = now;
+        startedAt = nextTick = now;
         askAt = settings.askForList() ? now : Long.MAX_VALUE;
         probes = new ProbeScheduler(settings, random, freshness, action -> actions.add(action), now);
     }
 
-    private void learn(Event event) {
+    private void onEvent(Event event) {
         if (event instanceof MemberList list) {
-            learnList(list);
+            onMemberList(list);
         } else if (event instanceof Arrival arrival) {
-            accept(arrival);
+            onArrival(arrival);
         } else if (event instanceof Outcome outcome) {
-            learnOutcome(outcome);
+            onOutcome(outcome);
         } else if (event instanceof ProbeResult echo && members.containsKey(echo.member())) {
-            learnProbe(echo);
+            onProbeResult(echo);
         } else if (event instanceof PeerMessage message && shared) {
-            learnNews(PeerNews.decode(message.content()));
+            onGossip(GossipMessage.decode(message.content()));
         } else if (event instanceof AnswerBegun begun && requests.containsKey(begun.request())) {
             requests.get(begun.request()).begun = true;
         } else if (event instanceof Lapsed lapsed && requests.containsKey(lapsed.request())) {
@@ -160,7 +165,7 @@
         }
     }
 
-    private void accept(Arrival arrival) {
+    private void onArrival(Arrival arrival) {
         if (arrival.requestClass() < 0 || arrival.requestClass() >= settings.classes().size()) {
             actions.add(new Refuse(arrival.request(), 0)); // of no class that the settings name: nothing ran
             return;
@@ -176,13 +181,13 @@
     private Request request(Arrival arrival) {
         int index = arrival.requestClass();
         RequestClass kind = settings.classes().get(index);
-        long end = Math.max(now, now + arrival.timeLeft() - 2 * beat);
+        long end = Math.max(now, now + arrival.timeLeft() - 2 * tick);
         // A retry with another time left than first tries has the rest of the whole deadline: that tells
         // when its client first asked. Past its aim worthless work is not begun; what runs may answer.
         patience[index] = arrival.retry() ? patience[index] : arrival.timeLeft();
-        boolean told = arrival.retry() && Math.abs(arrival.timeLeft() - patience[index]) > beat;
+        boolean told = arrival.retry() && Math.abs(arrival.timeLeft() - patience[index]) > tick;
         long at = now - (told ? Math.max(0, kind.deadline() - arrival.timeLeft()) : 0);
-        long lastSend = kind.lateWorth() > 0 ? end : Math.min(end, at + kind.aim() - beat);
+        long lastSend = kind.lateWorth() > 0 ? end : Math.min(end, at + kind.aim() - tick);
         long needed = kind.need() == Need.FRESH ? now : arrival.sinceWrite() != NONE
             ? now - arrival.sinceWrite() : lastWrites.getOrDefault(arrival.session(), forgotten);
         return new Request(arrival, kind, group(arrival.group()), at, end, lastSend, needed);
@@ -193,7 +198,7 @@
     }
 
     /** Follows the list: a drain binds at once, and so does absence unless only a drain is to bind. */
-    private void learnList(MemberList list) {
+    private void onMemberList(MemberList list) {
         if (list.kind() == ListKind.FAILED) {
             askAt = now + askWait + random.nextLong(askWait);
             askWait = Math.min(2 * askWait, settings.rules().askWithin() / 2);
@@ -206,7 +211,7 @@
             Set<String> listed = list.listings().stream().map(Listing::member).collect(Collectors.toSet());
             members.values().stream().filter(m -> !listed.contains(m.id) && !lenient).forEach(m -> {
                 m.phase = Phase.GONE;
-                onListed(m);
+                onMemberListed(m);
             });
         }
         for (Listing line : list.listings()) {
@@ -222,16 +227,16 @@
                 member.window = COLD_WINDOW / settings.routers();
             }
             member.phase = line.phase() == Phase.GONE && lenient ? member.phase : line.phase();
-            onListed(member);
+            onMemberListed(member);
             if (line.primary()) {
                 boolean late = settings.data().listedRole() == ListedRole.LATE;
-                learnRole(member, Role.PRIMARY, late ? now - SlowStart.LIST_AGE : Long.MIN_VALUE + 1);
+                updateRole(member, Role.PRIMARY, late ? now - SlowStart.LIST_AGE : Long.MIN_VALUE + 1);
             }
         }
     }
 
     /** What follows a line of the list, or a line that is missing there. */
-    private void onListed(Member member) {
+    private void onMemberListed(Member member) {
         touched.add(member.group);
         slowStart.recount(member, now);
         if (member.phase == Phase.SERVING) {
@@ -242,7 +247,7 @@
     }
 
     /** Newest evidence wins: reports and lists speak of the past, answers of the present. */
-    private void learnRole(Member member, Role role, long at) {
+    private void updateRole(Member member, Role role, long at) {
         if (role == Role.UNKNOWN || at < member.roleAt) {
             return;
         }
@@ -257,18 +262,18 @@
         }
     }
 
-    private void learnPosition(Member member, long position, long at) {
+    private void updatePosition(Member member, long position, long at) {
         member.position = Math.max(member.position, position);
         member.positionAt = position == NONE ? member.positionAt : Math.max(member.positionAt, at);
     }
 
-    private void learnProbe(ProbeResult echo) {
+    private void onProbeResult(ProbeResult echo) {
         Member member = members.get(echo.member());
         member.probing = false;
         if (echo.result() != Result.OK) {
             if (echo.result() != Result.REJECTED) {
                 probes.onFailed(member, now);
-                lose(member, echo.result() == Result.NOT_CONNECTED);
+                markUnreachable(member, echo.result() == Result.NOT_CONNECTED);
             }
             return;
         }
@@ -286,13 +291,13 @@
         probes.onAnswered(member, now);
         if (echo.report() != null) {
             long position = echo.report().position();
-            learnPosition(member, position, now);
+            updatePosition(member, position, now);
             Role role = echo.report().role();
             boolean knownPrimary = member.group.primary == member;
-            learnRole(member, role, position == NONE ? now - echo.elapsed() : position);
+            updateRole(member, role, position == NONE ? now - echo.elapsed() : position);
             boolean changed = knownPrimary != (member.group.primary == member);
             if (probes.handsOn(member, changed, now)) {
-                news.add(new PeerNews.Finding(member.id, role, now, position, (long) member.ping));
+                news.add(new GossipMessage.Finding(member.id, role, now, position, (long) member.ping));
             }
         }
     }
@@ -302,20 +307,20 @@
      * own. Only good news counts, and lifts no exclusion: a router that is cut off finds everyone gone.
      * Harm: what a router alone cannot reach it learns by its requests, or up to a period later.
      */
-    private void learnNews(PeerNews told) {
-        for (PeerNews.Finding found : told.findings()) {
+    private void onGossip(GossipMessage told) {
+        for (GossipMessage.Finding found : told.findings()) {
             Member member = members.get(found.member());
             if (member == null || found.at() > now || found.position() > found.at()) {
                 continue;
             }
-            learnRole(member, found.role(), found.position() == NONE ? found.at() : found.position());
-            learnPosition(member, found.position(), found.at());
+            updateRole(member, found.role(), found.position() == NONE ? found.at() : found.position());
+            updatePosition(member, found.position(), found.at());
             member.ping = told.zone() == settings.zone() && found.ping() > 0 ? found.ping() : member.ping;
             probes.onNews(member, members.size(), now);
         }
     }
 
-    private void learnOutcome(Outcome outcome) {
+    private void onOutcome(Outcome outcome) {
         Request request = requests.get(outcome.request());
         Attempt attempt = request == null || outcome.attempt() >= request.attempts.size() ? null
             : request.attempts.set(outcome.attempt(), null);
@@ -329,9 +334,9 @@
             busy.remove(member);
         }
         touched.add(member.group);
-        learnHealth(member, attempt, outcome);
-        learnRole(member, outcome.role(), now);
-        learnPosition(member, outcome.position(), now);
+        updateHealth(member, attempt, outcome);
+        updateRole(member, outcome.role(), now);
+        updatePosition(member, outcome.position(), now);
         if (outcome.result() == Result.OK && request.kind.need() == Need.WRITE && remembersWrites) {
             lastWrites.merge(request.arrival.session(), outcome.position(), Math::max);
             // What is forgotten counts as everybody's: reads get fresher data than they need, never older.
@@ -347,14 +352,14 @@
     }
 
     /** Health from answers: how much of its aim an answer took. */
-    private void learnHealth(Member member, Attempt attempt, Outcome outcome) {
+    private void updateHealth(Member member, Attempt attempt, Outcome outcome) {
         int index = attempt.request().classIndex();
         // One lost answer is no queue: no sample counts for more than a missed aim.
         double strain = Math.min(1, outcome.elapsed() / (double) attempt.request().kind.aim());
         boolean answered = SAID.contains(outcome.result());
         member.answeredAt = answered ? now : member.answeredAt;
         member.suspectSince = answered ? NONE : member.suspectSince;
-        if (stood && outcome.result() != Result.NOT_CONNECTED) {
+        if (clockStalled && outcome.result() != Result.NOT_CONNECTED) {
             return;
         }
         switch (outcome.result()) {
@@ -365,20 +370,20 @@
                 sample(member, strain);
                 slowStart.onServed(member, work(attempt.request()) * SECOND / MachineKind.RATE_TIME, now);
                 if (strain(member) > STRAIN_AIM) {
-                    narrow(member);
+                    decreaseConcurrencyLimit(member);
                 } else if (member.open.size() + 1 >= member.window / 2) {
                     member.window += STEP_UP / settings.routers() / Math.max(1, member.window);
                 }
             }
-            case REJECTED -> narrow(member);
+            case REJECTED -> decreaseConcurrencyLimit(member);
             case TIMED_OUT, CANCELLED -> {
                 // Where others were answered meanwhile, in time, a long wait is a lost answer and no load.
                 if (!late(attempt) || answeredAt(member) <= attempt.sentAt() || strain(member) >= STRAIN_AIM) {
                     sample(member, Math.max(strain, strain(member)));
-                    narrow(member);
+                    decreaseConcurrencyLimit(member);
                 }
             }
-            case NOT_CONNECTED -> lose(member, true);
+            case NOT_CONNECTED -> markUnreachable(member, true);
             case RESET -> probes.urgent(member, now); // one broken connection is no dead member: a probe tells
             default -> { }
         }
@@ -386,11 +391,11 @@
 
     /** When the member last answered, as far as this router was able to hear it. */
     private long answeredAt(Member member) {
-        return Math.max(member.answeredAt, stoodAt);
+        return Math.max(member.answeredAt, clockStalledAt);
     }
 
     /** Guards against broken links: one failure beside answers only asks a probe. Harm: a try at the dead. */
-    private void lose(Member member, boolean refused) {
+    private void markUnreachable(Member member, boolean refused) {
         boolean once = member.failedAt < answeredAt(member) && now < answeredAt(member) + RESTART;
         member.failedAt = now;
         member.downAt = member.down ? member.downAt : now;
@@ -412,7 +417,7 @@
         return usual + (member.strain - usual) * Math.exp((member.sampledAt - now) / FADE);
     }
 
-    private void narrow(Member member) {
+    private void decreaseConcurrencyLimit(Member member) {
         if (now >= member.stepDue) {
             member.stepDue = now + STEP_GAP;
             member.window = Math.max(LEAST_WINDOW / settings.routers(), member.window * STEP_DOWN);
@@ -559,7 +564,7 @@
         return switch (request.kind.effect()) {
             case IDEMPOTENT -> true;
             case AT_MOST_ONCE -> false;
-            case DEDUPLICATED -> now < first.sentAt() + request.kind.repeatWindow() - beat
+            case DEDUPLICATED -> now < first.sentAt() + request.kind.repeatWindow() - tick
                 && (request.kind.repeatScope() != RepeatScope.ZONE || member.zone == first.member().zone);
         };
     }
@@ -592,7 +597,7 @@
             case NOT_CONNECTED, REJECTED -> pending.add(request);
             case MISSED -> {
                 if (request.kind.need() == Need.WRITE) {
-                    learnRole(attempt.member(), Role.REPLICA, now);
+                    updateRole(attempt.member(), Role.REPLICA, now);
                     request.group.members.forEach(m -> probes.urgent(m, now));
                     request.tried.remove(attempt.member());
                 } else {
@@ -663,7 +668,7 @@
         }
     }
 
-    private void beat() {
+    private void onTick() {
         if (now >= askAt) {
             askAt = Long.MAX_VALUE;
             actions.add(new Subscribe());
@@ -673,7 +678,7 @@
         List.copyOf(busy).stream().filter(m -> m.phase == Phase.SERVING).forEach(this::watchSilence);
         slowStart.tick(now);
         probes.tick(members.size(), now);
-        PeerNews.encode(settings.zone(), news).forEach(datagram -> actions.add(new Tell(NONE, datagram)));
+        GossipMessage.encode(settings.zone(), news).forEach(datagram -> actions.add(new Tell(NONE, datagram)));
         news.clear();
     }
 
--- a/core/src/test/java/ledgewall/Fleet.java
+++ b/core/src/test/java/ledgewall/PolicyFleet.java
@@ -1,7 +1,7 @@
 package ledgewall;
 
-import static ledgewall.Bench.MS;
-import static ledgewall.Bench.SECOND;
+import static ledgewall.PolicyHarness.MS;
+import static ledgewall.PolicyHarness.SECOND;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -16,7 +16,7 @@
  * Many instances of the module in one thread and one time: members that answer after a fixed time, datagrams that arrive
  * after 10 ms, and requests that come evenly to routers drawn from one seed.
  */
-final class Fleet {
+final class PolicyFleet {
     static final long PROBE_TIME = 2 * MS;
     private static final long ANSWER_TIME = 100 * MS;
     private static final long DATAGRAM_TIME = 10 * MS;
@@ -39,7 +39,7 @@
     private record Due(long at, long number, int router, Event event) { }
 
     final Map<String, Host> hosts = new LinkedHashMap<>();
-    final List<Brain> routers = new ArrayList<>();
+    final List<ReplicaRoutingPolicy> routers = new ArrayList<>();
     final Map<Integer, Integer> probesBy = new HashMap<>();
     boolean cutOff;
     long now = 1_000 * SECOND;
@@ -54,12 +54,12 @@
     private long number;
     private long nextRequest;
 
-    Fleet(int routers, int groups) {
+    PolicyFleet(int routers, int groups) {
         this(routers, groups, true);
     }
 
     /** Routers may tell one another what they find, or may not. */
-    Fleet(int routers, int groups, boolean peers) {
+    PolicyFleet(int routers, int groups, boolean peers) {
         this.peers = peers;
         for (int group = 0; group < groups; group++) {
             hosts.put("p" + group, new Host(Role.PRIMARY, group));
@@ -73,12 +73,12 @@
     }
 
     private void start(int rank, int count) {
-        Settings alone = Bench.settings(count, rank);
+        Settings alone = PolicyHarness.settings(count, rank);
         Limits limits = alone.limits();
         Settings settings = new Settings(count, rank, 0, alone.tick(), false, alone.classes(), alone.tenants(), 1,
             new Limits(limits.maxAttempts(), true, true, true, peers, false, 0, limits.connectTimeout(), 1000),
             alone.data(), alone.rules());
-        routers.set(rank, new Brain(settings, 100 + rank));
+        routers.set(rank, new ReplicaRoutingPolicy(settings, 100 + rank));
         tell(rank, 0, list(ListKind.REMEMBERED));
     }
 
@@ -117,7 +117,7 @@
                 long group = random.nextInt(hosts.size() / 3);
                 int kind = random.nextInt(3);
                 asked++;
-                tell(router, 0, new Arrival(nextRequest++, kind, 0, group, 5, kind == Bench.WRITE ? 5 * SECOND : 700 * MS,
+                tell(router, 0, new Arrival(nextRequest++, kind, 0, group, 5, kind == PolicyHarness.WRITE ? 5 * SECOND : 700 * MS,
                     RoutingPolicy.NONE, false));
             }
             turn();
--- a/core/src/test/java/ledgewall/FleetCostTest.java
+++ b/core/src/test/java/ledgewall/PolicyFleetCostTest.java
@@ -1,6 +1,6 @@
 package ledgewall;
 
-import static ledgewall.Bench.SECOND;
+import static ledgewall.PolicyHarness.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,7 +13,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What decisions cost a router of a hundred with the usual number of members and with sixteen times as many. */
-class FleetCostTest {
+class PolicyFleetCostTest {
     private static final int ROUTERS = 100;
     private static final int RANK = 7;
     private static final int GROUPS = 17;
@@ -26,7 +26,7 @@
 
     private static Cost cost(int groups, boolean shared) {
         ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
-        Fleet fleet = new Fleet(ROUTERS, groups, shared);
+        PolicyFleet fleet = new PolicyFleet(ROUTERS, groups, shared);
         fleet.pass(SECOND, RATE);
         long before = threads.getCurrentThreadAllocatedBytes();
         fleet.pass(DAY, RATE);
@@ -50,7 +50,7 @@
 
     @Test
     void membersThatFailTheirProbesAreNotProbedWithoutARequest() {
-        Fleet fleet = new Fleet(1, TIMES * GROUPS, false);
+        PolicyFleet fleet = new PolicyFleet(1, TIMES * GROUPS, false);
         fleet.hosts.values().forEach(host -> host.gone = true);
         fleet.pass(DAY, 0);
         double rounds = 40;
@@ -59,14 +59,14 @@
 
     @Test
     void aReadThatNeedsAProvenPositionAsksOneReplicaForItAndGoesThere() {
-        Settings few = Bench.settings(Effect.AT_MOST_ONCE, Behind.ANSWERS, false);
-        Bench bench = new Bench(new Settings(ROUTERS, RANK, 0, few.tick(), false, few.classes(), few.tenants(), 1, few.limits(),
-            few.data(), few.rules())).ready();
+        Settings few = PolicyHarness.settings(Effect.AT_MOST_ONCE, Behind.ANSWERS, false);
+        PolicyHarness bench = new PolicyHarness(new Settings(ROUTERS, RANK, 0, few.tick(), false, few.classes(), few.tenants(), 1,
+            few.limits(), few.data(), few.rules())).ready();
         bench.now += 3 * SECOND;
-        List<Action> actions = bench.ask(Bench.BOUNDED);
-        assertEquals(List.of(), Bench.sends(actions));
+        List<Action> actions = bench.ask(PolicyHarness.BOUNDED);
+        assertEquals(List.of(), PolicyHarness.sends(actions));
         List<String> probed = actions.stream().filter(Probe.class::isInstance).map(a -> ((Probe) a).member()).toList();
         assertEquals(1, probed.size());
-        assertEquals(probed, Bench.sends(bench.echo(probed.get(0), Role.REPLICA, bench.now)));
+        assertEquals(probed, PolicyHarness.sends(bench.echo(probed.get(0), Role.REPLICA, bench.now)));
     }
 }
--- a/core/src/test/java/ledgewall/FleetTest.java
+++ b/core/src/test/java/ledgewall/PolicyFleetTest.java
@@ -1,6 +1,6 @@
 package ledgewall;
 
-import static ledgewall.Bench.SECOND;
+import static ledgewall.PolicyHarness.SECOND;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import ledgewall.RoutingPolicy.Rules;
@@ -9,13 +9,13 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** What all routers of a fleet come to together. */
-class FleetTest {
+class PolicyFleetTest {
     private static final int PINGS = 3;
 
     @ParameterizedTest
     @ValueSource(ints = {1, 10, 100})
     void probesOfAMemberDoNotGrowWithTheNumberOfRouters(int routers) {
-        Fleet fleet = new Fleet(routers, 4);
+        PolicyFleet fleet = new PolicyFleet(routers, 4);
         fleet.pass(10 * SECOND, 60);
         long since = fleet.now;
         fleet.pass(30 * SECOND, 60);
@@ -30,7 +30,7 @@
 
     @Test
     void aRestartedRouterProbesNotMoreThanWhatItIsAskedFor() {
-        Fleet fleet = new Fleet(100, 4);
+        PolicyFleet fleet = new PolicyFleet(100, 4);
         fleet.pass(10 * SECOND, 60);
         fleet.probesBy.clear();
         fleet.restart(0);
@@ -46,7 +46,7 @@
     @ParameterizedTest
     @ValueSource(ints = {1, 10, 100})
     void whatAllRoutersSendToAMemberThatIsBackColdDoesNotGrowWithTheirNumber(int routers) {
-        Fleet fleet = new Fleet(routers, 4);
+        PolicyFleet fleet = new PolicyFleet(routers, 4);
         int seconds = 20;
         fleet.pass(seconds * SECOND, 300);
         double warm = fleet.hosts.get("a0").sends.size() / (double) seconds;
@@ -56,7 +56,7 @@
         long back = fleet.now;
         fleet.restarted("a0");
         fleet.pass(6 * SECOND, 300);
-        Rules rules = Bench.rules();
+        Rules rules = PolicyHarness.rules();
         for (long from = back; from < back + 4 * SECOND; from += SECOND / 10) {
             long start = from;
             long end = start + rules.overloadWindow();
@@ -64,14 +64,15 @@
             double present = rules.coldShare() + (1 - rules.coldShare()) * (end - back)
                 / rules.warmAfter();
             double most = rules.overloadFactor() * present * warm * rules.overloadWindow() / SECOND;
-            assertTrue(sent <= most, sent + " sent in a window, " + most + " at most, " + (start - back) / Bench.MS + " ms on");
+            assertTrue(sent <= most,
+                sent + " sent in a window, " + most + " at most, " + (start - back) / PolicyHarness.MS + " ms on");
         }
         assertTrue(fleet.hosts.get("a0").sends.stream().anyMatch(at -> at >= back), "it is asked again");
     }
 
     @Test
     void routersThatHearNothingOfOneAnotherStillProbeEveryMember() {
-        Fleet fleet = new Fleet(10, 2);
+        PolicyFleet fleet = new PolicyFleet(10, 2);
         fleet.cutOff = true;
         fleet.pass(12 * SECOND, 20);
         for (String member : fleet.hosts.keySet()) {
--- a/core/src/test/java/ledgewall/Bench.java
+++ b/core/src/test/java/ledgewall/PolicyHarness.java
@@ -5,7 +5,7 @@
 import ledgewall.RoutingPolicy.*;
 
 /** Feeds a module one moment after another and keeps what it asked for. */
-final class Bench {
+final class PolicyHarness {
     static final long MS = 1_000_000L;
     static final long SECOND = 1_000 * MS;
     static final int BOUNDED = 0;
@@ -13,16 +13,16 @@
     static final int WRITE = 2;
 
     final List<Action> log = new ArrayList<>();
-    final Brain brain;
+    final ReplicaRoutingPolicy brain;
     long now;
     private long nextRequest = 1;
 
-    Bench(Settings settings, long start) {
-        brain = new Brain(settings, 7);
+    PolicyHarness(Settings settings, long start) {
+        brain = new ReplicaRoutingPolicy(settings, 7);
         now = start;
     }
 
-    Bench(Settings settings) {
+    PolicyHarness(Settings settings) {
         this(settings, 1_000 * SECOND);
     }
 
@@ -81,7 +81,7 @@
     }
 
     /** A group of a primary "p" and two replicas "a" and "b", all probed and fresh. */
-    Bench ready() {
+    PolicyHarness ready() {
         feed(new MemberList(ListKind.REMEMBERED, List.of(line("p"), line("a"), line("b"))));
         echoAll();
         return this;
--- a/core/src/test/java/ledgewall/RandomEventsTest.java
+++ b/core/src/test/java/ledgewall/RandomEventsTest.java
@@ -1,7 +1,7 @@
 package ledgewall;
 
-import static ledgewall.Bench.MS;
-import static ledgewall.Bench.SECOND;
+import static ledgewall.PolicyHarness.MS;
+import static ledgewall.PolicyHarness.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
@@ -50,7 +50,7 @@
     void theRulesHold(long seed, Effect writes, Behind behind) {
         this.writes = writes;
         SplittableRandom random = new SplittableRandom(seed);
-        Bench bench = new Bench(Bench.settings(writes, behind, seed % 2 == 0));
+        PolicyHarness bench = new PolicyHarness(PolicyHarness.settings(writes, behind, seed % 2 == 0));
         NAMES.forEach(name -> phases.put(name, Phase.SERVING));
         check(bench, bench.feed(new MemberList(ListKind.REMEMBERED,
             NAMES.stream().map(name -> listing(name, Phase.SERVING, 0)).toList())));
@@ -77,7 +77,7 @@
         return new Listing(name, NAMES.indexOf(name) / 3, 0, 0, phase, 1, false, born);
     }
 
-    private Event next(SplittableRandom random, Bench bench) {
+    private Event next(SplittableRandom random, PolicyHarness bench) {
         String member = NAMES.get(random.nextInt(NAMES.size()));
         int kind = random.nextInt(20);
         if (kind < 6) {
@@ -121,7 +121,7 @@
             random.nextLong(400) * MS, ticket.over, role, role == Role.UNKNOWN ? RoutingPolicy.NONE : now, null);
     }
 
-    private void check(Bench bench, List<Action> actions) {
+    private void check(PolicyHarness bench, List<Action> actions) {
         for (Action action : actions) {
             if (action instanceof Send send) {
                 Ticket ticket = open(send.request());
@@ -154,16 +154,16 @@
         return ticket;
     }
 
-    private static void finish(Bench bench, Ticket ticket) {
+    private static void finish(PolicyHarness bench, Ticket ticket) {
         ticket.over = true;
         assertTrue(bench.now <= ticket.deadline, "answered too late");
     }
 
     private boolean unsafe(Ticket ticket) {
-        return ticket.arrival.requestClass() == Bench.WRITE && writes == Effect.AT_MOST_ONCE;
+        return ticket.arrival.requestClass() == PolicyHarness.WRITE && writes == Effect.AT_MOST_ONCE;
     }
 
     private boolean repeatable(Ticket ticket) {
-        return ticket.arrival.requestClass() != Bench.WRITE || writes == Effect.IDEMPOTENT;
+        return ticket.arrival.requestClass() != PolicyHarness.WRITE || writes == Effect.IDEMPOTENT;
     }
 }
--- a/core/src/test/java/ledgewall/BrainTest.java
+++ b/core/src/test/java/ledgewall/ReplicaRoutingPolicyTest.java
@@ -1,14 +1,14 @@
 package ledgewall;
 
-import static ledgewall.Bench.ANY;
-import static ledgewall.Bench.BOUNDED;
-import static ledgewall.Bench.MS;
-import static ledgewall.Bench.SECOND;
-import static ledgewall.Bench.WRITE;
-import static ledgewall.Bench.count;
-import static ledgewall.Bench.line;
-import static ledgewall.Bench.sends;
-import static ledgewall.Bench.settings;
+import static ledgewall.PolicyHarness.ANY;
+import static ledgewall.PolicyHarness.BOUNDED;
+import static ledgewall.PolicyHarness.MS;
+import static ledgewall.PolicyHarness.SECOND;
+import static ledgewall.PolicyHarness.WRITE;
+import static ledgewall.PolicyHarness.count;
+import static ledgewall.PolicyHarness.line;
+import static ledgewall.PolicyHarness.sends;
+import static ledgewall.PolicyHarness.settings;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -23,13 +23,13 @@
 import ledgewall.RoutingPolicy.*;
 import org.junit.jupiter.api.Test;
 
-class BrainTest {
+class ReplicaRoutingPolicyTest {
 
     // The ordinary path
 
     @Test
     void readsGoToBothReplicasAndNeverToThePrimary() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         for (int i = 0; i < 40; i++) {
             List<String> sent = sends(bench.ask(i % 2 == 0 ? ANY : BOUNDED));
             assertEquals(1, sent.size());
@@ -42,7 +42,7 @@
 
     @Test
     void writesGoToTheMemberLastSeenAsPrimary() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         assertEquals(List.of("p"), sends(bench.ask(WRITE)));
         bench.now += SECOND;
         bench.echo("a", Role.PRIMARY, bench.now);
@@ -51,7 +51,7 @@
 
     @Test
     void everyMemberIsProbedThreeTimesAtTheStartAndAgainAfterFiveSeconds() {
-        Bench bench = new Bench(settings());
+        PolicyHarness bench = new PolicyHarness(settings());
         List<Action> first = bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("p"), line("a"))));
         assertEquals(2, count(first, Probe.class));
         assertEquals(1, count(bench.echo("a", Role.REPLICA, bench.now), Probe.class));
@@ -63,7 +63,7 @@
 
     @Test
     void aFailedProbeTakesTheMembersReadsUntilOneSucceeds() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         bench.feed(new ProbeResult("a", Result.NOT_CONNECTED, MS, null));
         for (int i = 0; i < 20; i++) {
             assertEquals(List.of("b"), sends(bench.ask(ANY)));
@@ -73,7 +73,7 @@
 
     @Test
     void aReadThatFailsFallsThroughToTheOtherReplicaAndThenThePrimary() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         String first = sends(bench.ask(ANY)).get(0);
         String second = sends(bench.outcome(1, 0, first, Result.NOT_CONNECTED, Role.UNKNOWN)).get(0);
         assertNotEquals(first, second);
@@ -82,7 +82,7 @@
 
     @Test
     void aBoundedReadSpillsToThePrimaryWhileEveryReplicaLags() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         bench.now += 3 * SECOND;
         bench.echo("p", Role.PRIMARY, bench.now);
         bench.echo("a", Role.REPLICA, bench.now - 2 * SECOND);
@@ -92,7 +92,7 @@
 
     @Test
     void aWriteTurnedAwayIsHeldWhileTheGroupIsProbedAndGoesToTheNewPrimary() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         bench.ask(WRITE);
         bench.now += SECOND;
         assertEquals(List.of(), sends(bench.outcome(1, 0, "p", Result.MISSED, Role.REPLICA)));
@@ -103,7 +103,7 @@
 
     @Test
     void noMoreAttemptsAreOutThanTheWindowsOfTheMembersLet() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         for (int i = 0; i < 200; i++) {
             bench.ask(ANY);
         }
@@ -114,7 +114,7 @@
 
     @Test
     void aMemberThatTurnsWorkAwayAsFullIsNotAskedAgainByTheSameRequestAtOnce() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         String first = sends(bench.ask(ANY)).get(0);
         String second = sends(bench.outcome(1, 0, first, Result.REJECTED, Role.UNKNOWN)).get(0);
         assertNotEquals(first, second);
@@ -122,7 +122,7 @@
 
     @Test
     void aSilentPrimaryIsGivenOneTrialWriteAfterAWhile() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         bench.feed(bench.arrival(WRITE, 2 * SECOND));
         bench.pass(1_999 * MS);
         bench.outcome(1, 0, "p", Result.TIMED_OUT, Role.UNKNOWN);
@@ -133,25 +133,25 @@
         assertEquals(before + 1, sends(bench.log).size());
     }
 
-    private static Bench withReads(Need need, boolean tokensCarried) {
+    private static PolicyHarness withReads(Need need, boolean tokensCarried) {
         Settings base = settings();
         RequestClass read = new RequestClass(need, 0, Effect.IDEMPOTENT, RepeatScope.ALL, 0, 300 * MS, 750 * MS, 2, 0,
             false);
         Data data = new Data(Behind.ANSWERS, 0, false, tokensCarried, ListedRole.NEVER, true, true);
-        return new Bench(new Settings(2, 0, 0, 5 * MS, false, List.of(read, read, base.classes().get(WRITE)),
+        return new PolicyHarness(new Settings(2, 0, 0, 5 * MS, false, List.of(read, read, base.classes().get(WRITE)),
             List.of(), 1, base.limits(), data, base.rules())).ready();
     }
 
     @Test
     void aReadThatMustBeFreshUsesThePrimary() {
-        Bench bench = withReads(Need.FRESH, true);
+        PolicyHarness bench = withReads(Need.FRESH, true);
         bench.now += MS;
         assertEquals(List.of("p"), sends(bench.ask(0)));
     }
 
     @Test
     void aCarriedTokenKeepsReadsOffReplicasThatLackTheSessionsWrite() {
-        Bench bench = withReads(Need.SESSION, true);
+        PolicyHarness bench = withReads(Need.SESSION, true);
         bench.now += 100 * MS;
         bench.feed(new Arrival(70, 0, 0, 1, 5, 700 * MS, 50 * MS, false));
         assertEquals(List.of("p"), sends(bench.log));
@@ -161,7 +161,7 @@
 
     @Test
     void aRememberedWriteKeepsReadsOffReplicasThatLackIt() {
-        Bench bench = withReads(Need.SESSION, false);
+        PolicyHarness bench = withReads(Need.SESSION, false);
         bench.ask(WRITE);
         bench.now += 100 * MS;
         bench.feed(new Outcome(1, 0, "p", Result.OK, 100 * MS, true, Role.PRIMARY, bench.now, null));
@@ -173,7 +173,7 @@
 
     @Test
     void aSessionForgottenAmongManyStillReadsItsWrite() {
-        Bench bench = withReads(Need.SESSION, false);
+        PolicyHarness bench = withReads(Need.SESSION, false);
         bench.now += 2 * SECOND;
         for (int session = 1; session <= 20_010; session++) {
             bench.feed(new Arrival(session, WRITE, 0, 1, session, 5 * SECOND, RoutingPolicy.NONE, false));
@@ -188,7 +188,7 @@
 
     @Test
     void aHeldWriteIsRefusedBeforeItsTimeIsUp() {
-        Bench bench = new Bench(settings());
+        PolicyHarness bench = new PolicyHarness(settings());
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
         bench.echo("a", Role.REPLICA, bench.now);
         bench.feed(bench.arrival(WRITE, SECOND));
@@ -199,7 +199,7 @@
 
     @Test
     void aSentWriteThatNeverAnswersFailsBeforeItsTimeIsUp() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         bench.ask(WRITE);
         List<Action> actions = bench.pass(4_999 * MS);
         assertEquals(1, count(actions, Fail.class));
@@ -208,7 +208,7 @@
 
     @Test
     void nothingIsSaidOfARequestThatLapsed() {
-        Bench bench = new Bench(settings());
+        PolicyHarness bench = new PolicyHarness(settings());
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))), bench.arrival(WRITE, SECOND));
         bench.feed(new Lapsed(1));
         List<Action> actions = bench.pass(2 * SECOND);
@@ -217,7 +217,7 @@
 
     @Test
     void aRequestOfAnUnknownClassOrGroupGetsItsAnswer() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         assertEquals(1, count(bench.feed(new Arrival(90, 9, 0, 1, 0, SECOND, RoutingPolicy.NONE, false)),
             Refuse.class));
         bench.feed(new Arrival(91, ANY, 0, 77, 0, SECOND, RoutingPolicy.NONE, false));
@@ -229,7 +229,7 @@
     @Test
     void anUnsafeWriteThatMayHaveRunFailsAndIsNotSentAgain() {
         for (Result result : List.of(Result.ERROR, Result.RESET, Result.TIMED_OUT, Result.CANCELLED)) {
-            Bench bench = new Bench(settings()).ready();
+            PolicyHarness bench = new PolicyHarness(settings()).ready();
             bench.ask(WRITE);
             List<Action> actions = bench.outcome(1, 0, "p", result, Role.UNKNOWN);
             assertEquals(1, count(actions, Fail.class), result.name());
@@ -239,7 +239,7 @@
 
     @Test
     void aDeduplicatedWriteIsNotSentAgainOnceItsWindowHasPassed() {
-        Bench bench = new Bench(settings(Effect.DEDUPLICATED, Behind.REFUSES, false)).ready();
+        PolicyHarness bench = new PolicyHarness(settings(Effect.DEDUPLICATED, Behind.REFUSES, false)).ready();
         bench.ask(WRITE);
         bench.now += 1_100 * MS;
         bench.echo("a", Role.PRIMARY, bench.now);
@@ -251,7 +251,7 @@
 
     @Test
     void nothingGoesToAMemberThatDrainsOrIsGone() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         bench.feed(new MemberList(ListKind.CHANGES, List.of(line("a", Phase.DRAINING, 0))));
         for (int i = 0; i < 20; i++) {
             assertEquals(List.of("b"), sends(bench.ask(ANY)));
@@ -265,7 +265,7 @@
     void whereOnlyADrainBindsAnAbsentMemberMayStillBeAsked() {
         Settings base = settings();
         Rules rules = new Rules(20 * MS, 10 * SECOND, 500 * MS, true, 0.2, 10 * SECOND, 3, 2 * SECOND);
-        Bench bench = new Bench(new Settings(2, 0, 0, 5 * MS, false, base.classes(), List.of(), 1, base.limits(),
+        PolicyHarness bench = new PolicyHarness(new Settings(2, 0, 0, 5 * MS, false, base.classes(), List.of(), 1, base.limits(),
             base.data(), rules)).ready();
         bench.feed(new MemberList(ListKind.FULL, List.of(line("p"), line("b", Phase.DRAINING, 0))));
         assertEquals(List.of("a"), sends(bench.ask(ANY)));
@@ -273,7 +273,7 @@
 
     @Test
     void aListThatMustBeAskedForIsAskedForAgainAfterAFailure() {
-        Bench bench = new Bench(settings(Effect.AT_MOST_ONCE, Behind.REFUSES, true));
+        PolicyHarness bench = new PolicyHarness(settings(Effect.AT_MOST_ONCE, Behind.REFUSES, true));
         assertEquals(1, count(bench.feed(new MemberList(ListKind.REMEMBERED, List.of())), Subscribe.class));
         bench.feed(new MemberList(ListKind.FAILED, List.of()));
         assertEquals(0, count(bench.pass(900 * MS), Subscribe.class));
@@ -284,7 +284,7 @@
 
     @Test
     void aColdMemberGetsNoMoreThanItsBudgetInAWindow() {
-        Bench bench = new Bench(settings());
+        PolicyHarness bench = new PolicyHarness(settings());
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("c", Phase.SERVING, bench.now))));
         bench.echo("c", Role.REPLICA, bench.now);
         for (int i = 0; i < 50; i++) {
@@ -297,15 +297,15 @@
     void manyRoutersTogetherKeepToAColdMembersBudget() {
         int routers = 90;
         Map<Long, Integer> sent = new TreeMap<>();
-        List<Bench> benches = new ArrayList<>();
+        List<PolicyHarness> benches = new ArrayList<>();
         for (int rank = 0; rank < routers; rank++) {
-            Bench bench = new Bench(settings(routers, rank));
+            PolicyHarness bench = new PolicyHarness(settings(routers, rank));
             bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("c", Phase.SERVING, bench.now))));
             bench.echo("c", Role.PRIMARY, bench.now);
             benches.add(bench);
         }
         for (int step = 0; step < 200; step++) {
-            for (Bench bench : benches) {
+            for (PolicyHarness bench : benches) {
                 bench.now += 30 * MS;
                 List<Action> actions = new ArrayList<>(bench.ask(WRITE));
                 for (Action action : actions) {
@@ -324,7 +324,7 @@
 
     @Test
     void wherePositionsAreNotEnforcedAnUnknownPositionGetsNoBoundedRead() {
-        Bench bench = new Bench(settings(Effect.AT_MOST_ONCE, Behind.ANSWERS, false));
+        PolicyHarness bench = new PolicyHarness(settings(Effect.AT_MOST_ONCE, Behind.ANSWERS, false));
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
         bench.feed(new ProbeResult("a", Result.OK, MS, null));
         bench.ask(BOUNDED);
@@ -334,7 +334,7 @@
 
     @Test
     void wherePositionsAreNotEnforcedALaggingReplicaGetsNoBoundedRead() {
-        Bench bench = new Bench(settings(Effect.AT_MOST_ONCE, Behind.ANSWERS, false));
+        PolicyHarness bench = new PolicyHarness(settings(Effect.AT_MOST_ONCE, Behind.ANSWERS, false));
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
         bench.echo("a", Role.REPLICA, bench.now - 2 * SECOND);
         bench.ask(BOUNDED);
@@ -346,7 +346,7 @@
 
     @Test
     void readsAreTakenBackFromAMemberThatAnswersNothing() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         for (int i = 0; i < 12; i++) {
             bench.feed(bench.arrival(ANY, 1_500 * MS));
         }
@@ -364,7 +364,7 @@
 
     @Test
     void aMemberThatReturnsAfterRefusedConnectionsGetsAColdMembersShareUntilListsCatchUp() {
-        Bench bench = new Bench(settings());
+        PolicyHarness bench = new PolicyHarness(settings());
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
         bench.echo("a", Role.REPLICA, bench.now);
         bench.feed(new ProbeResult("a", Result.NOT_CONNECTED, MS, null));
@@ -386,7 +386,7 @@
     /** Links that break now and then are no dead members: each one was a cold return, and writes waited for seconds. */
     @Test
     void oneFailureSinceAnAnswerOfJustNowTakesNoMemberOutAndTheNextOneDoes() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         for (int round = 0; round < 10; round++) {
             assertEquals(List.of("p"), sends(bench.ask(WRITE)));
             bench.outcome(bench.lastRequest(), 0, "p", Result.OK, Role.PRIMARY);
@@ -399,7 +399,7 @@
 
     @Test
     void whatAnswersAgainWithinASecondWasNotRestartedAndIsWarm() {
-        Bench bench = new Bench(settings());
+        PolicyHarness bench = new PolicyHarness(settings());
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
         bench.echo("a", Role.REPLICA, bench.now);
         bench.feed(new ProbeResult("a", Result.NOT_CONNECTED, MS, null));
@@ -414,7 +414,7 @@
     /** Replaced all day: each is forgotten, said to be, and not probed any more. */
     @Test
     void membersThatAreGoneAreForgotten() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         for (int i = 0; i < 5_000; i++) {
             bench.feed(new MemberList(ListKind.CHANGES, List.of(line("m" + i))));
             bench.echo("m" + i, Role.REPLICA, bench.now);
@@ -435,7 +435,7 @@
     /** Answers to some writes were lost; what had been sent before kept the silent primary from any trial for seconds. */
     @Test
     void lostAnswersStandInNoTrialsWay() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         for (int i = 1; i <= 4; i++) {
             assertEquals(List.of("p"), sends(bench.ask(WRITE)));
         }
@@ -453,7 +453,7 @@
 
     @Test
     void oneResetConnectionTakesNoPlace() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         String first = sends(bench.ask(ANY)).get(0);
         bench.outcome(1, 0, first, Result.RESET, Role.UNKNOWN);
         Set<String> used = new HashSet<>();
@@ -469,7 +469,7 @@
     void whereOnlyAnswersTellRolesHeldWritesAskOneMemberNowAndThen() {
         Settings base = settings();
         Data data = new Data(Behind.REFUSES, 0, true, true, ListedRole.LATE, false, false);
-        Bench bench = new Bench(new Settings(2, 0, 0, 5 * MS, false, base.classes(), List.of(), 1, base.limits(),
+        PolicyHarness bench = new PolicyHarness(new Settings(2, 0, 0, 5 * MS, false, base.classes(), List.of(), 1, base.limits(),
             data, base.rules()));
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"), line("b"))));
         bench.feed(new ProbeResult("a", Result.OK, MS, null), new ProbeResult("b", Result.OK, MS, null));
@@ -488,7 +488,8 @@
         int[] sent = new int[2];
         for (int i = 0; i < 2; i++) {
             Settings base = settings();
-            Bench bench = new Bench(new Settings(i == 0 ? 2 : 12, 0, 0, 5 * MS, false, base.classes(), List.of(), 1,
+            PolicyHarness bench = new PolicyHarness(
+                new Settings(i == 0 ? 2 : 12, 0, 0, 5 * MS, false, base.classes(), List.of(), 1,
                 base.limits(), base.data(), base.rules())).ready();
             for (int j = 0; j < 50; j++) {
                 bench.ask(ANY);
@@ -500,7 +501,7 @@
 
     @Test
     void ofManyRoutersEachSpacesItsSendsOnlyToMembersThatStrain() {
-        Bench bench = new Bench(settings(100, 0)).ready();
+        PolicyHarness bench = new PolicyHarness(settings(100, 0)).ready();
         for (int i = 0; i < 10; i++) {
             assertEquals(List.of("p"), sends(bench.ask(WRITE)), "well inside its aims, the " + i + "th");
             bench.now += 10 * MS;
@@ -522,7 +523,7 @@
 
     @Test
     void aRetryWhoseClientFirstAskedTooLongAgoIsRefusedAtOnce() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         bench.feed(new Arrival(50, BOUNDED, 0, 1, 5, 400 * MS, RoutingPolicy.NONE, false));
         Arrival fresh = new Arrival(51, BOUNDED, 0, 1, 5, 400 * MS, RoutingPolicy.NONE, true);
         assertEquals(1, count(bench.feed(fresh), Send.class));
@@ -532,7 +533,7 @@
 
     @Test
     void aFewLostAnswersDoNotStarveAMemberThatAnswersTheRestInTime() {
-        Bench bench = new Bench(settings());
+        PolicyHarness bench = new PolicyHarness(settings());
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("a"))));
         bench.echo("a", Role.REPLICA, bench.now);
         int sent = 0;
@@ -552,7 +553,7 @@
 
     @Test
     void aSmallLagIsNotProbedAnewBeforeItsTimeWhereMembersRefuseStaleReads() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         for (int i = 0; i < 3; i++) {
             bench.echoAll();
         }
@@ -567,7 +568,7 @@
 
     @Test
     void aLagNearTheBoundIsProbedAtOnceButOnlyForGroupsThatAreAskedFor() {
-        Bench bench = new Bench(settings());
+        PolicyHarness bench = new PolicyHarness(settings());
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("p"), line("a"), line("b"))));
         for (int i = 0; i < 3; i++) {
             bench.echo("p", Role.PRIMARY, bench.now);
@@ -585,7 +586,7 @@
 
     @Test
     void aRefusalSaysToComeBackSoonWhileThatCanBeInTime() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         for (int i = 0; i < 200; i++) {
             bench.ask(BOUNDED);
         }
@@ -598,7 +599,7 @@
     void whatComesAfterTheRoutersOwnPauseIsNoSlownessOfTheMembers() {
         int[] sent = new int[2];
         for (int i = 0; i < 2; i++) {
-            Bench bench = new Bench(settings()).ready();
+            PolicyHarness bench = new PolicyHarness(settings()).ready();
             for (int round = 0; round < 8; round++) {
                 List<Send> sends = new ArrayList<>();
                 for (int j = 0; j < 4; j++) {
@@ -627,7 +628,7 @@
 
     @Test
     void anAttemptThatIsLostHoldsNoPlaceForTheRestOfItsTime() {
-        Bench bench = new Bench(settings(30, 0)).ready();
+        PolicyHarness bench = new PolicyHarness(settings(30, 0)).ready();
         assertEquals(List.of("p"), sends(bench.ask(WRITE)));
         bench.pass(500 * MS);
         assertEquals(List.of(), sends(bench.ask(WRITE)));
@@ -638,7 +639,7 @@
     void lostAnswersNarrowNothingWhileOthersAreAnsweredInTime() {
         int[] sent = new int[2];
         for (int i = 0; i < 2; i++) {
-            Bench bench = new Bench(settings()).ready();
+            PolicyHarness bench = new PolicyHarness(settings()).ready();
             for (int round = 0; round < 5; round++) {
                 bench.ask(WRITE);
                 long lost = bench.lastRequest();
@@ -663,7 +664,7 @@
 
     @Test
     void aSlowKindOfMachineGetsFewerReadsThanAFastOne() {
-        Bench bench = new Bench(settings());
+        PolicyHarness bench = new PolicyHarness(settings());
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("p"), line("a"), line("b"),
             new Listing("c", 1, 0, 1, Phase.SERVING, 1, false, 0),
             new Listing("d", 1, 0, 1, Phase.SERVING, 1, false, 0))));
@@ -689,7 +690,8 @@
         for (boolean drainBindsAlone : new boolean[] {false, true}) {
             Settings base = settings();
             Rules rules = new Rules(20 * MS, 10 * SECOND, 500 * MS, drainBindsAlone, 0.2, 10 * SECOND, 3, 2 * SECOND);
-            Bench bench = new Bench(new Settings(2, 0, 0, 5 * MS, false, base.classes(), List.of(), 1, base.limits(),
+            PolicyHarness bench = new PolicyHarness(new Settings(2, 0, 0, 5 * MS, false, base.classes(), List.of(), 1,
+                base.limits(),
                 base.data(), rules)).ready();
             bench.feed(new MemberList(ListKind.FULL, List.of()));
             assertEquals(drainBindsAlone ? 1 : 0, sends(bench.ask(ANY)).size());
@@ -700,7 +702,7 @@
 
     @Test
     void anOldListThatComesAgainUndoesNoDrainThatItDoesNotName() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         bench.feed(new MemberList(ListKind.CHANGES, List.of(line("a", Phase.DRAINING, 0))));
         bench.feed(new MemberList(ListKind.CHANGES, List.of(line("ghost"), line("b"))));
         for (int i = 0; i < 20; i++) {
@@ -711,7 +713,7 @@
 
     @Test
     void aMemberThatDoesNotExistCostsOneAttemptUntilAProbeSucceeds() {
-        Bench bench = new Bench(settings());
+        PolicyHarness bench = new PolicyHarness(settings());
         bench.feed(new MemberList(ListKind.REMEMBERED, List.of(line("ghost"), line("a"))));
         bench.echo("a", Role.REPLICA, bench.now);
         bench.feed(new ProbeResult("ghost", Result.NOT_CONNECTED, 250 * MS, null));
@@ -725,7 +727,7 @@
 
     @Test
     void timersAnswersAndEndsThatComeAtOnceAfterALongGapAreAllAnswered() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         bench.ask(ANY);
         String member = sends(bench.log).get(0);
         bench.ask(WRITE);
@@ -741,7 +743,7 @@
 
     @Test
     void aGroupThatGrowsFromOneMomentToTheNextSharesItsReads() {
-        Bench bench = new Bench(settings()).ready();
+        PolicyHarness bench = new PolicyHarness(settings()).ready();
         bench.feed(new MemberList(ListKind.CHANGES, List.of(line("c"))));
         bench.echo("c", Role.REPLICA, bench.now);
         Set<String> used = new HashSet<>();
@@ -756,7 +758,7 @@
     @Test
     void oneOfAHundredRoutersAndARouterAloneBothServe() {
         for (int routers : new int[] {1, 100}) {
-            Bench bench = new Bench(settings(routers, routers - 1)).ready();
+            PolicyHarness bench = new PolicyHarness(settings(routers, routers - 1)).ready();
             for (int i = 0; i < 10; i++) {
                 String member = sends(bench.ask(ANY)).get(0);
                 bench.outcome(bench.lastRequest(), 0, member, Result.OK, Role.REPLICA);
@@ -768,9 +770,9 @@
 
     @Test
     void theSameEventsBringTheSameActions() {
-        Bench one = new Bench(settings()).ready();
-        Bench two = new Bench(settings()).ready();
-        for (Bench bench : List.of(one, two)) {
+        PolicyHarness one = new PolicyHarness(settings()).ready();
+        PolicyHarness two = new PolicyHarness(settings()).ready();
+        for (PolicyHarness bench : List.of(one, two)) {
             for (int i = 0; i < 50; i++) {
                 bench.ask(i % 3);
                 bench.pass(5 * MS);
--- a/router/src/main/java/ledgewall/FileWatch.java
+++ b/router/src/main/java/ledgewall/ConfigurationWatcher.java
@@ -10,7 +10,7 @@
  * Looks at a file now and then and says when it is another than before. It compares what the file holds, since times
  * of change are too coarse to tell a file caught half written from the whole one; so it is for small files.
  */
-final class FileWatch {
+final class ConfigurationWatcher {
     /** A discovery that moves is gone at its old address after a second or more. */
     static final long EVERY_MILLIS = 500;
 
@@ -18,7 +18,7 @@
     private final Runnable changed;
     private byte[] last;
 
-    FileWatch(Path file, Runnable changed) {
+    ConfigurationWatcher(Path file, Runnable changed) {
         this.file = file;
         this.changed = changed;
         this.last = read();
@@ -26,7 +26,7 @@
 
     /** Watches until the process ends. */
     static void start(Path file, Runnable changed) {
-        FileWatch watch = new FileWatch(file, changed);
+        ConfigurationWatcher watch = new ConfigurationWatcher(file, changed);
         Thread thread = new Thread(watch::run, "ledgewall-file");
         thread.setDaemon(true);
         thread.start();
--- a/router/src/main/java/ledgewall/Main.java
+++ b/router/src/main/java/ledgewall/Main.java
@@ -28,7 +28,7 @@
                 return 0;
             }
             if (command.equals("simhost") && args.length == 1) {
-                new SimHost(Brain::new).serve(System.in, System.out);
+                new SimHost(ReplicaRoutingPolicy::new).serve(System.in, System.out);
                 return 0;
             }
             System.err.println("usage: ledgewall serve [CONFIG] | simhost");
--- a/router/src/main/java/ledgewall/Service.java
+++ b/router/src/main/java/ledgewall/Service.java
@@ -5,7 +5,7 @@
 import java.nio.file.Path;
 import java.util.concurrent.CompletableFuture;
 import ledgewall.net.Classifier;
-import ledgewall.net.Rehearsal;
+import ledgewall.net.WarmUp;
 import ledgewall.net.Router;
 import ledgewall.net.RouterConfig;
 import ledgewall.settings.FormatException;
@@ -48,16 +48,16 @@
         RouterConfig first = RouterConfig.read(file);
         classifier = classifiers == null ? null : classifiers.read(first, null);
         CompletableFuture<Router> started = new CompletableFuture<>();
-        if (!HangUp.handle(() -> reload(started.join()))) {
+        if (!SighupHandler.handle(() -> reload(started.join()))) {
             LOG.warn("SIGHUP was ignored when this process started: {} is read every {} ms instead, and taken over as it"
-                + " changes", file, FileWatch.EVERY_MILLIS);
-            FileWatch.start(file, () -> reload(started.join()));
+                + " changes", file, ConfigurationWatcher.EVERY_MILLIS);
+            ConfigurationWatcher.start(file, () -> reload(started.join()));
             if (rules != null) {
-                FileWatch.start(rules, () -> reload(started.join()));
+                ConfigurationWatcher.start(rules, () -> reload(started.join()));
             }
         }
-        Rehearsal.run(first, Brain::new);
-        Router router = Router.start(first, Brain::new, classifier);
+        WarmUp.run(first, ReplicaRoutingPolicy::new);
+        Router router = Router.start(first, ReplicaRoutingPolicy::new, classifier);
         started.complete(router);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             router.drain();
--- a/router/src/main/java/ledgewall/HangUp.java
+++ b/router/src/main/java/ledgewall/SighupHandler.java
@@ -6,8 +6,8 @@
  * Hears of SIGHUP. Java's one way to do so is a class of the JDK's that the compiler warns of wherever it is named,
  * without a way to say that it is meant; so it is named in text here, and nowhere else.
  */
-final class HangUp {
-    private HangUp() {
+final class SighupHandler {
+    private SighupHandler() {
     }
 
     /**
--- a/router/src/main/java/ledgewall/discovery/Follower.java
+++ b/router/src/main/java/ledgewall/discovery/MemberListWatcher.java
@@ -14,7 +14,7 @@
  * and when, and returns the steps to take, in order. How long each way of missing a change lasts stands in
  * docs/architecture.md.
  */
-public final class Follower {
+public final class MemberListWatcher {
     private static final long MS = 1_000_000L;
     private static final long NEVER = Long.MAX_VALUE;
     /** A revision before any. */
@@ -145,7 +145,7 @@
      *
      * @param onlyWhenAsked whether discovery tells something only when the policy asks for it
      */
-    public Follower(InetSocketAddress address, ListUpdate list, boolean onlyWhenAsked, Pace pace) {
+    public MemberListWatcher(InetSocketAddress address, ListUpdate list, boolean onlyWhenAsked, Pace pace) {
         this.address = address;
         this.revision = list.revision();
         this.onlyWhenAsked = onlyWhenAsked;
--- a/router/src/main/java/ledgewall/net/Attempt.java
+++ b/router/src/main/java/ledgewall/net/Attempt.java
@@ -8,7 +8,7 @@
     interface Listener {
         void served(Attempt attempt, Reply reply);
 
-        void ended(Attempt attempt, Ending ending, Reply reply, long at);
+        void ended(Attempt attempt, AttemptOutcome ending, Reply reply, long at);
     }
 
     private final ClientRequest request;
@@ -77,7 +77,7 @@
     }
 
     @Override
-    public void ended(Ending ending, Reply reply, long at) {
+    public void ended(AttemptOutcome ending, Reply reply, long at) {
         if (ended) {
             return;
         }
@@ -89,11 +89,11 @@
     }
 
     /** Stops waiting: the connection closes, and an answer that is whole already still counts. */
-    void giveUp(Ending ending, long at) {
+    void giveUp(AttemptOutcome ending, long at) {
         if (ended) {
             return;
         }
-        Ending last = connection != null && connection.isAnswered() ? connection.endingInHand() : ending;
+        AttemptOutcome last = connection != null && connection.isAnswered() ? connection.endingInHand() : ending;
         Reply reply = connection == null ? new Reply() : connection.reply();
         if (connection != null) {
             connection.close();
--- a/router/src/main/java/ledgewall/net/Ending.java
+++ b/router/src/main/java/ledgewall/net/AttemptOutcome.java
@@ -4,7 +4,7 @@
 import ledgewall.pg.SqlState;
 
 /** Every way in which an attempt, a probe or its connection can end, with what it is to the policy. */
-enum Ending {
+enum AttemptOutcome {
     SERVED(Result.OK),
     /** 25006: a write, and the member is no primary. */
     NOT_PRIMARY(Result.MISSED),
@@ -35,7 +35,7 @@
 
     private final Result result;
 
-    Ending(Result result) {
+    AttemptOutcome(Result result) {
         this.result = result;
     }
 
@@ -44,7 +44,7 @@
     }
 
     /** How an error's code ends what it answers. */
-    static Ending ofSqlState(String code) {
+    static AttemptOutcome ofSqlState(String code) {
         return switch (code) {
             case SqlState.READ_ONLY -> NOT_PRIMARY;
             case SqlState.TOO_FAR_BEHIND -> TOO_FAR_BEHIND;
@@ -55,7 +55,7 @@
     }
 
     /** How an error instead of a greeting ends what was to be sent: it never was. */
-    static Ending ofGreeting(String code) {
+    static AttemptOutcome ofGreeting(String code) {
         return code.equals(SqlState.TOO_MANY_CONNECTIONS) ? TURNED_AWAY : BROKEN_BEFORE_WRITTEN;
     }
 }
--- a/router/src/main/java/ledgewall/net/PatientAcceptor.java
+++ b/router/src/main/java/ledgewall/net/BackpressureAcceptor.java
@@ -15,7 +15,7 @@
  * accepts until that fails and then sleeps for a second, so that hundreds of connects at once would cost the router
  * its probes and the others their place.
  */
-final class PatientAcceptor extends NioSocketAcceptor {
+final class BackpressureAcceptor extends NioSocketAcceptor {
     private static final long PAUSE = TimeUnit.MILLISECONDS.toNanos(1);
 
     private final BooleanSupplier mayAccept;
@@ -28,7 +28,7 @@
      * Runs {@code waiting} each time that a client has to wait, and tells {@code resumed} after each pause how long it was,
      * in nanoseconds; both on the acceptor's thread.
      */
-    PatientAcceptor(IoProcessor<NioSession> processor, BooleanSupplier mayAccept, Runnable waiting, LongConsumer resumed) {
+    BackpressureAcceptor(IoProcessor<NioSession> processor, BooleanSupplier mayAccept, Runnable waiting, LongConsumer resumed) {
         super(processor);
         this.mayAccept = mayAccept;
         this.resumed = resumed;
--- a/router/src/main/java/ledgewall/net/Held.java
+++ b/router/src/main/java/ledgewall/net/BufferedBytes.java
@@ -8,7 +8,7 @@
  * they come to too many together, the client that holds the most is cut off, so that slow readers never cost the
  * router its life.
  */
-final class Held {
+final class BufferedBytes {
     /** Well within the heap that `run` gives, beside what hosts' answers and the rest need. */
     private static final long MOST = 16L * 1024 * 1024;
 
--- a/router/src/main/java/ledgewall/net/Counters.java
+++ b/router/src/main/java/ledgewall/net/Counters.java
@@ -17,13 +17,13 @@
     }
 
     private final Map<Count, LongAdder> counts = new EnumMap<>(Count.class);
-    private final Map<Ending, LongAdder> endings = new EnumMap<>(Ending.class);
+    private final Map<AttemptOutcome, LongAdder> endings = new EnumMap<>(AttemptOutcome.class);
 
     Counters() {
         for (Count count : Count.values()) {
             counts.put(count, new LongAdder());
         }
-        for (Ending ending : Ending.values()) {
+        for (AttemptOutcome ending : AttemptOutcome.values()) {
             endings.put(ending, new LongAdder());
         }
     }
@@ -36,7 +36,7 @@
         counts.get(count).add(many);
     }
 
-    void addEnding(Ending ending) {
+    void addEnding(AttemptOutcome ending) {
         endings.get(ending).increment();
     }
 
@@ -44,7 +44,7 @@
         return counts.get(count).sum();
     }
 
-    long of(Ending ending) {
+    long of(AttemptOutcome ending) {
         return endings.get(ending).sum();
     }
 
--- a/router/src/main/java/ledgewall/net/Discovery.java
+++ b/router/src/main/java/ledgewall/net/Discovery.java
@@ -9,7 +9,7 @@
 import java.util.Map;
 import ledgewall.RoutingPolicy;
 import ledgewall.RoutingPolicy.ListKind;
-import ledgewall.discovery.Follower;
+import ledgewall.discovery.MemberListWatcher;
 import ledgewall.discovery.HttpException;
 import ledgewall.discovery.HttpReader;
 import ledgewall.discovery.ListReader;
@@ -21,7 +21,7 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Follows the list: carries out what {@link Follower} decides, and tells it what came. Silence is never an empty list:
+ * Follows the list: carries out what {@link MemberListWatcher} decides, and tells it what came. Silence is never an empty list:
  * what is known stays.
  */
 final class Discovery {
@@ -29,18 +29,18 @@
 
     private final Wiring wiring;
     private final Members members;
-    private final Follower follower;
+    private final MemberListWatcher follower;
     /** Connections of the follower's open calls; each leaves when the follower says so. */
-    private final Map<Follower.Call, Connection> connections = new HashMap<>();
+    private final Map<MemberListWatcher.Call, Connection> connections = new HashMap<>();
     private EventLoop.Timer timer;
     private long timerDue = Long.MAX_VALUE;
     private InetSocketAddress address;
 
-    Discovery(Wiring wiring, RouterConfig config, Members members, Follower.Pace pace) {
+    Discovery(Wiring wiring, RouterConfig config, Members members, MemberListWatcher.Pace pace) {
         this.wiring = wiring;
         this.members = members;
         this.address = config.discovery();
-        this.follower = new Follower(address, config.known(), config.settings().askForList(), pace);
+        this.follower = new MemberListWatcher(address, config.known(), config.settings().askForList(), pace);
     }
 
     /** Begins to follow unasked, where that is discovery's way. */
@@ -71,26 +71,26 @@
         return wiring.loop().now();
     }
 
-    private void carryOut(List<Follower.Step> steps) {
-        for (Follower.Step step : steps) {
-            if (step instanceof Follower.Open open) {
+    private void carryOut(List<MemberListWatcher.Step> steps) {
+        for (MemberListWatcher.Step step : steps) {
+            if (step instanceof MemberListWatcher.Open open) {
                 Connection connection = new Connection(open.call());
                 connections.put(open.call(), connection);
                 connection.open();
-            } else if (step instanceof Follower.Close close) {
+            } else if (step instanceof MemberListWatcher.Close close) {
                 connections.remove(close.call()).close();
-            } else if (step instanceof Follower.Learn learn) {
+            } else if (step instanceof MemberListWatcher.Learn learn) {
                 learn(learn.update(), learn.from());
-            } else if (step instanceof Follower.Failed) {
+            } else if (step instanceof MemberListWatcher.Failed) {
                 wiring.loop().tell(new RoutingPolicy.MemberList(ListKind.FAILED, List.of()));
             }
         }
         setTimer();
     }
 
-    private void learn(ListUpdate update, Follower.Call from) {
+    private void learn(ListUpdate update, MemberListWatcher.Call from) {
         wiring.counters().add(Counters.Count.LISTS);
-        if (from.purpose() == Follower.Purpose.CHECK || from.purpose() == Follower.Purpose.WHOLE) {
+        if (from.purpose() == MemberListWatcher.Purpose.CHECK || from.purpose() == MemberListWatcher.Purpose.WHOLE) {
             wiring.counters().add(Counters.Count.LISTS_BY_CHECK);
             LOG.info("revision {} came by a check before the watch told of it", update.revision());
         }
@@ -115,20 +115,20 @@
 
     /** The connection that one call has to itself. */
     private final class Connection implements Endpoint {
-        private final Follower.Call call;
+        private final MemberListWatcher.Call call;
         private final ListReader list = new ListReader();
         private final HttpReader http = new HttpReader(list);
         private ConnectFuture connecting;
         private IoSession session;
         private boolean over;
 
-        private Connection(Follower.Call call) {
+        private Connection(MemberListWatcher.Call call) {
             this.call = call;
         }
 
         private void open() {
             wiring.descriptors().take();
-            wiring.counters().add(call.purpose() == Follower.Purpose.WATCH
+            wiring.counters().add(call.purpose() == MemberListWatcher.Purpose.WATCH
                 ? Counters.Count.WATCHES : Counters.Count.LIST_CHECKS);
             connecting = wiring.transport().connect(call.address(), this, this::lost);
         }
--- a/router/src/main/java/ledgewall/net/LastWordsProcessor.java
+++ b/router/src/main/java/ledgewall/net/DrainBeforeResetProcessor.java
@@ -17,7 +17,7 @@
  * writing alone: MINA changes both from the caller's thread, against its own, and forgets a write that is half
  * done, so that a client's answers could stop for good. And it can be asked to read what has come.
  */
-final class LastWordsProcessor extends NioProcessor {
+final class DrainBeforeResetProcessor extends NioProcessor {
     /** What was ready when the first pass began may have been picked before; the second has all. */
     private static final int PASSES = 2;
     /** Without connections there are no passes: nothing can have come. */
@@ -27,7 +27,7 @@
     private final Queue<NioSession> readChanges = new ConcurrentLinkedQueue<>();
     private volatile long passes;
 
-    LastWordsProcessor(Executor executor) {
+    DrainBeforeResetProcessor(Executor executor) {
         super(executor);
     }
 
--- a/router/src/main/java/ledgewall/net/Exchange.java
+++ b/router/src/main/java/ledgewall/net/Exchange.java
@@ -14,5 +14,5 @@
     void served(Reply reply);
 
     /** It is over; {@code reply} holds what has come of an answer. */
-    void ended(Ending ending, Reply reply, long at);
+    void ended(AttemptOutcome ending, Reply reply, long at);
 }
--- a/router/src/main/java/ledgewall/net/HostConnection.java
+++ b/router/src/main/java/ledgewall/net/HostConnection.java
@@ -52,12 +52,12 @@
             connectTimer = wiring.loop().in(wiring.connectTimeout(), this::connectTimedOut);
         }
         connecting = wiring.transport().connect(address, this,
-            () -> fail(Ending.CONNECT_REFUSED, wiring.loop().now()));
+            () -> fail(AttemptOutcome.CONNECT_REFUSED, wiring.loop().now()));
     }
 
     private void connectTimedOut() {
         if (stage == Stage.CONNECTING || stage == Stage.GREETING) {
-            fail(Ending.CONNECT_TIMED_OUT, wiring.loop().now());
+            fail(AttemptOutcome.CONNECT_TIMED_OUT, wiring.loop().now());
         }
     }
 
@@ -131,7 +131,7 @@
             case BUSY -> answer(frame, at);
             case IDLE -> {
                 if (frame.type() != 'N' && frame.type() != 'S') {
-                    fail(Ending.BROKEN_BEFORE_WRITTEN, at); // a farewell, or an answer to nothing
+                    fail(AttemptOutcome.BROKEN_BEFORE_WRITTEN, at); // a farewell, or an answer to nothing
                 }
             }
             default -> { }
@@ -141,7 +141,7 @@
     private void greet(Frame frame, long at) throws ProtocolException {
         greeting.accept(frame);
         if (greeting.sqlState() != null) {
-            fail(Ending.ofGreeting(greeting.sqlState()), at);
+            fail(AttemptOutcome.ofGreeting(greeting.sqlState()), at);
         } else if (greeting.ready()) {
             cancelConnectTimer();
             begin();
@@ -164,8 +164,8 @@
         }
     }
 
-    private Ending answered() {
-        return reply.served() ? Ending.SERVED : Ending.ofSqlState(reply.sqlState());
+    private AttemptOutcome answered() {
+        return reply.served() ? AttemptOutcome.SERVED : AttemptOutcome.ofSqlState(reply.sqlState());
     }
 
     private void garbled(long at) {
@@ -173,22 +173,22 @@
             return;
         }
         wiring.counters().add(Counters.Count.BAD_HOSTS);
-        fail(stage == Stage.BUSY ? Ending.GARBLED : Ending.BROKEN_BEFORE_WRITTEN, at);
+        fail(stage == Stage.BUSY ? AttemptOutcome.GARBLED : AttemptOutcome.BROKEN_BEFORE_WRITTEN, at);
     }
 
     @Override
     public void ended(long at) {
-        fail(written ? Ending.BROKEN_AFTER_WRITTEN : Ending.BROKEN_BEFORE_WRITTEN, at);
+        fail(written ? AttemptOutcome.BROKEN_AFTER_WRITTEN : AttemptOutcome.BROKEN_BEFORE_WRITTEN, at);
     }
 
     /** Ends the connection; what it carried ends by what has come of its answer, else as given. */
-    private void fail(Ending ending, long at) {
+    private void fail(AttemptOutcome ending, long at) {
         if (stage == Stage.CLOSED) {
             return;
         }
         Exchange cut = exchange;
         boolean whole = stage == Stage.BUSY && (reply.served() || reply.sqlState() != null);
-        Ending last = whole ? answered() : ending;
+        AttemptOutcome last = whole ? answered() : ending;
         close();
         if (cut != null) {
             cut.ended(last, reply, at);
@@ -229,7 +229,7 @@
     }
 
     /** How what it carries would end by the answer in hand. */
-    Ending endingInHand() {
+    AttemptOutcome endingInHand() {
         return answered();
     }
 
--- a/router/src/main/java/ledgewall/net/Notes.java
+++ b/router/src/main/java/ledgewall/net/HostReports.java
@@ -8,7 +8,7 @@
 import ledgewall.pg.Reply;
 
 /** What hosts tell beside their answers, in the policy's units. */
-final class Notes {
+final class HostReports {
     private static final String MODE = "mode";
     private static final String WAL_TIME = "wal_time";
     private static final String STATS = "stats";
@@ -16,7 +16,7 @@
     private static final long CLOCKS_APART = Clock.millis(100);
     private static final int LONGEST_REPORT = 1_024;
 
-    private Notes() {
+    private HostReports() {
     }
 
     static Role role(Reply reply) {
--- a/router/src/main/java/ledgewall/net/Members.java
+++ b/router/src/main/java/ledgewall/net/Members.java
@@ -20,8 +20,8 @@
 /** The members by id: where each is reached, over which connections, and what the policy is told of it. */
 final class Members {
     private final Wiring wiring;
-    private final Names zones;
-    private final Names kinds;
+    private final NameInterner zones;
+    private final NameInterner kinds;
     private final Map<String, HostPool> hosts = new LinkedHashMap<>();
     /** Members that the policy has done with; each leaves with its last connection, or when it is listed again. */
     private final Map<String, HostPool> forgotten = new HashMap<>();
@@ -30,8 +30,8 @@
 
     Members(Wiring wiring, Vocabulary vocabulary) {
         this.wiring = wiring;
-        this.zones = new Names(vocabulary.zones());
-        this.kinds = new Names(vocabulary.kinds());
+        this.zones = new NameInterner(vocabulary.zones());
+        this.kinds = new NameInterner(vocabulary.kinds());
     }
 
     /** The member's connections, or null if it was never listed. */
--- a/router/src/main/java/ledgewall/net/Names.java
+++ b/router/src/main/java/ledgewall/net/NameInterner.java
@@ -5,13 +5,13 @@
 import java.util.Map;
 
 /** Indexes of names: those that the settings list, then the others in the order in which they were met. */
-final class Names {
+final class NameInterner {
     /** Names beyond this many share the last index: whoever makes them up gets no memory for it. */
     private static final int MOST = 4096;
 
     private final Map<String, Integer> indexes = new HashMap<>();
 
-    Names(List<String> listed) {
+    NameInterner(List<String> listed) {
         listed.forEach(this::index);
     }
 
--- a/router/src/main/java/ledgewall/net/Probe.java
+++ b/router/src/main/java/ledgewall/net/Probe.java
@@ -33,7 +33,7 @@
     void start(HostPool pool) {
         wiring.counters().add(Counters.Count.PROBES);
         if (!pool.hasIdleForProbe() && !wiring.descriptors().roomForTraffic() && !wiring.idle().closeOldest()) {
-            ended(Ending.NO_DESCRIPTOR, new Reply(), wiring.loop().now());
+            ended(AttemptOutcome.NO_DESCRIPTOR, new Reply(), wiring.loop().now());
             return;
         }
         connection = pool.run(this);
@@ -45,7 +45,7 @@
     private void timeOut() {
         if (!ended) {
             connection.close();
-            ended(Ending.TIMED_OUT, new Reply(), wiring.loop().now());
+            ended(AttemptOutcome.TIMED_OUT, new Reply(), wiring.loop().now());
         }
     }
 
@@ -65,7 +65,7 @@
     }
 
     @Override
-    public void ended(Ending ending, Reply reply, long at) {
+    public void ended(AttemptOutcome ending, Reply reply, long at) {
         if (ended) {
             return;
         }
@@ -73,15 +73,15 @@
         if (timer != null) {
             timer.cancel();
         }
-        boolean notReady = ending == Ending.HOST_ERROR && SqlState.CANNOT_CONNECT_NOW.equals(reply.sqlState());
-        Ending last = notReady ? Ending.NOT_READY : ending;
-        RoutingPolicy.Report report = last == Ending.SERVED && reports ? report(reply, at) : null;
+        boolean notReady = ending == AttemptOutcome.HOST_ERROR && SqlState.CANNOT_CONNECT_NOW.equals(reply.sqlState());
+        AttemptOutcome last = notReady ? AttemptOutcome.NOT_READY : ending;
+        RoutingPolicy.Report report = last == AttemptOutcome.SERVED && reports ? report(reply, at) : null;
         wiring.loop().tell(new ProbeResult(member, last.result(), Math.max(1, at - startedAt), report));
     }
 
     private static RoutingPolicy.Report report(Reply reply, long at) {
         try {
-            return Notes.report(reply.text(), at);
+            return HostReports.report(reply.text(), at);
         } catch (ProtocolException e) {
             return null;
         }
--- a/router/src/main/java/ledgewall/net/Desk.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -21,8 +21,8 @@
 import org.slf4j.LoggerFactory;
 
 /** Takes requests in, tells the policy of them, and gives each its one answer. */
-final class Desk implements ClientConnection.Owner, Attempt.Listener {
-    private static final Logger LOG = LoggerFactory.getLogger(Desk.class);
+final class RequestDispatcher implements ClientConnection.Owner, Attempt.Listener {
+    private static final Logger LOG = LoggerFactory.getLogger(RequestDispatcher.class);
     /** A day: no client waits longer, and much longer would not fit the clock. */
     private static final long LONGEST_WAIT_MILLIS = 24L * 3_600 * 1_000;
     /**
@@ -55,7 +55,7 @@
     private Classifier classifier;
     private final boolean takesPlain;
 
-    Desk(Wiring wiring, RouterConfig config, Members members, Classifier classifier) {
+    RequestDispatcher(Wiring wiring, RouterConfig config, Members members, Classifier classifier) {
         this.classifier = classifier;
         this.takesPlain = classifier != null;
         this.wiring = wiring;
@@ -296,12 +296,12 @@
         wiring.counters().add(Counters.Count.ATTEMPTS);
         if (request.isOver() || timeout <= 0 || second || host == null
                 || request.attempts().size() > settings.limits().maxAttempts()) {
-            attempt.ended(Ending.NEVER_SENT, new Reply(), now);
+            attempt.ended(AttemptOutcome.NEVER_SENT, new Reply(), now);
         } else if (!host.hasIdleForRequest() && !wiring.descriptors().roomForTraffic() && !makeRoom()) {
-            attempt.ended(Ending.NO_DESCRIPTOR, new Reply(), now);
+            attempt.ended(AttemptOutcome.NO_DESCRIPTOR, new Reply(), now);
         } else {
             EventLoop.Timer timer = wiring.loop().in(timeout,
-                () -> attempt.giveUp(Ending.TIMED_OUT, wiring.loop().now()));
+                () -> attempt.giveUp(AttemptOutcome.TIMED_OUT, wiring.loop().now()));
             attempt.carriedBy(host.run(attempt), timer);
         }
     }
@@ -335,7 +335,7 @@
     void cancel(RoutingPolicy.Cancel cancel) {
         ClientRequest request = requests.get(cancel.request());
         if (request != null && cancel.attempt() < request.attempts().size()) {
-            request.attempts().get(cancel.attempt()).giveUp(Ending.GIVEN_UP, wiring.loop().now());
+            request.attempts().get(cancel.attempt()).giveUp(AttemptOutcome.GIVEN_UP, wiring.loop().now());
         }
     }
 
@@ -349,18 +349,18 @@
     }
 
     @Override
-    public void ended(Attempt attempt, Ending ending, Reply reply, long at) {
+    public void ended(Attempt attempt, AttemptOutcome ending, Reply reply, long at) {
         ClientRequest request = attempt.request();
         wiring.counters().addEnding(ending);
         LOG.debug("event=attempt_ended id={} attempt={} member={} ending={} ms={}", request.statement().id(), attempt.number(),
             attempt.member(), ending, Clock.toMillis(Math.max(0, at - attempt.sentAt())));
-        if (ending == Ending.BAD_STATEMENT && request.answer(
+        if (ending == AttemptOutcome.BAD_STATEMENT && request.answer(
                 withReady(MessageWriter.error(SqlState.SYNTAX_ERROR, "no member could use this statement")))) {
             wiring.counters().add(Counters.Count.BAD_QUERIES);
         }
         wiring.loop().tell(new RoutingPolicy.Outcome(
             request.number(), attempt.number(), attempt.member(), ending.result(), Math.max(0, at - attempt.sentAt()),
-            request.isOver(), Notes.role(reply), Notes.position(reply, at), Notes.report(reply, at)));
+            request.isOver(), HostReports.role(reply), HostReports.position(reply, at), HostReports.report(reply, at)));
         forgetIfOver(request);
     }
 
--- a/router/src/main/java/ledgewall/net/Router.java
+++ b/router/src/main/java/ledgewall/net/Router.java
@@ -7,7 +7,7 @@
 import ledgewall.RoutingPolicy;
 import ledgewall.RoutingPolicy.Action;
 import ledgewall.RoutingPolicy.ListKind;
-import ledgewall.discovery.Follower;
+import ledgewall.discovery.MemberListWatcher;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -31,7 +31,7 @@
     private final EventLoop loop = new EventLoop(clock, counters);
     private final Transport transport;
     private final Members members;
-    private final Desk desk;
+    private final RequestDispatcher desk;
     private final Discovery discovery;
     private final Peers peers;
     private final Wiring wiring;
@@ -39,15 +39,15 @@
     private final CountDownLatch closed = new CountDownLatch(1);
     private boolean draining;
 
-    private Router(RouterConfig config, RoutingPolicy.Factory factory, Follower.Pace pace, Classifier classifier) {
+    private Router(RouterConfig config, RoutingPolicy.Factory factory, MemberListWatcher.Pace pace, Classifier classifier) {
         this.config = config;
         Descriptors descriptors = new Descriptors(config.sockets());
         this.transport = new Transport(clock, loop, counters, descriptors.forAccepting());
-        this.wiring = new Wiring(clock, loop, transport, descriptors, counters, new Held(),
+        this.wiring = new Wiring(clock, loop, transport, descriptors, counters, new BufferedBytes(),
             new IdleConnections(counters, descriptors.forIdleHosts(), config.transport().connIdle()),
             config.transport().connectTimeout());
         this.members = new Members(wiring, config.vocabulary());
-        this.desk = new Desk(wiring, config, members, classifier);
+        this.desk = new RequestDispatcher(wiring, config, members, classifier);
         this.discovery = new Discovery(wiring, config, members, pace);
         this.peers = new Peers(wiring, config);
         loop.catchUpBy(transport::catchUp);
@@ -57,15 +57,15 @@
 
     /** Starts a router and returns once it listens. */
     public static Router start(RouterConfig config, RoutingPolicy.Factory factory) throws IOException {
-        return start(config, factory, Follower.Pace.USUAL, null);
+        return start(config, factory, MemberListWatcher.Pace.USUAL, null);
     }
 
     /** Starts a router that also takes statements without the comment, as what the classifier says that they are. */
     public static Router start(RouterConfig config, RoutingPolicy.Factory factory, Classifier classifier) throws IOException {
-        return start(config, factory, Follower.Pace.USUAL, classifier);
+        return start(config, factory, MemberListWatcher.Pace.USUAL, classifier);
     }
 
-    static Router start(RouterConfig config, RoutingPolicy.Factory factory, Follower.Pace pace, Classifier classifier)
+    static Router start(RouterConfig config, RoutingPolicy.Factory factory, MemberListWatcher.Pace pace, Classifier classifier)
             throws IOException {
         Router router = new Router(config, factory, pace, classifier);
         try {
--- a/router/src/main/java/ledgewall/net/Transport.java
+++ b/router/src/main/java/ledgewall/net/Transport.java
@@ -29,17 +29,17 @@
     private final EventLoop loop;
     private final ExecutorService thread = Executors.newSingleThreadExecutor(
         task -> new Thread(task, "ledgewall-io"));
-    private final LastWordsProcessor processor = new LastWordsProcessor(thread);
+    private final DrainBeforeResetProcessor processor = new DrainBeforeResetProcessor(thread);
     private final NioSocketConnector connector = new NioSocketConnector(processor);
     /** Sockets that are open, whether the loop knows of them yet or still. */
     private final AtomicInteger open = new AtomicInteger();
-    private final PatientAcceptor acceptor;
+    private final BackpressureAcceptor acceptor;
     private final AtomicBoolean shortTold = new AtomicBoolean();
     private volatile Runnable whenShort = () -> { };
 
     /** Accepts connections only while fewer sockets than {@code mostOpen} are open. */
     Transport(Clock clock, EventLoop loop, Counters counters, int mostOpen) {
-        this.acceptor = new PatientAcceptor(processor, () -> open.get() < mostOpen, this::tellShort, nanos -> {
+        this.acceptor = new BackpressureAcceptor(processor, () -> open.get() < mostOpen, this::tellShort, nanos -> {
             counters.add(Counters.Count.ACCEPT_PAUSES);
             counters.add(Counters.Count.ACCEPT_PAUSED_MILLIS, Clock.toMillis(nanos));
             LOG.debug("event=accept_resumed paused_ms={} sockets={} most={}", Clock.toMillis(nanos), open.get(), mostOpen);
--- a/router/src/main/java/ledgewall/net/Rehearsal.java
+++ b/router/src/main/java/ledgewall/net/WarmUp.java
@@ -19,7 +19,7 @@
  * work through made-up requests. On part of a core a router that has just started would otherwise be seconds behind its
  * clients, and take its own slowness for its members'. Nothing of it leaves the process, and nothing of it stays.
  */
-public final class Rehearsal {
+public final class WarmUp {
     /** Turns, one request each: the compiler takes up what has been called some hundred times. */
     private static final int TURNS = 1_500;
     /** At most this long: a restarted router is missed meanwhile. */
@@ -36,14 +36,14 @@
     private long now = Clock.ofSystem().now();
     private long requests;
 
-    private Rehearsal(RouterConfig config, RoutingPolicy policy) {
+    private WarmUp(RouterConfig config, RoutingPolicy policy) {
         this.config = config;
         this.policy = policy;
     }
 
     /** Plays through made-up requests; the number of those that were served. */
     public static long run(RouterConfig config, RoutingPolicy.Factory factory) {
-        Rehearsal rehearsal = new Rehearsal(config, factory.create(config.settings(), config.seed()));
+        WarmUp rehearsal = new WarmUp(config, factory.create(config.settings(), config.seed()));
         // Many routers that start at once, as after a release, are missed at once: each rehearses its share.
         double share = Math.min(1, HANDFUL / config.settings().routers());
         long end = System.nanoTime() + (long) (share * LONGEST);
@@ -82,7 +82,7 @@
                 answer(send);
             } else if (action instanceof RoutingPolicy.Probe probe) {
                 next.add(new RoutingPolicy.ProbeResult(probe.member(), RoutingPolicy.Result.OK, TURN,
-                    Notes.report("x0=" + now / 1e9 + ",x1=" + (probe.member().endsWith("-0") ? 1 : 0), now)));
+                    HostReports.report("x0=" + now / 1e9 + ",x1=" + (probe.member().endsWith("-0") ? 1 : 0), now)));
             } else if (action instanceof RoutingPolicy.SetTimer timer) {
                 next.add(new RoutingPolicy.TimerDue(timer.handle()));
             }
@@ -120,6 +120,6 @@
         }
         reply.answer();
         next.add(new RoutingPolicy.Outcome(send.request(), 0, send.member(), RoutingPolicy.Result.OK, TURN, true,
-            Notes.role(reply), Notes.position(reply, now), Notes.report(reply, now)));
+            HostReports.role(reply), HostReports.position(reply, now), HostReports.report(reply, now)));
     }
 }
--- a/router/src/main/java/ledgewall/net/Wiring.java
+++ b/router/src/main/java/ledgewall/net/Wiring.java
@@ -2,4 +2,4 @@
 
 /** What every part of one router shares. */
 record Wiring(Clock clock, EventLoop loop, Transport transport, Descriptors descriptors, Counters counters,
-              Held held, IdleConnections idle, long connectTimeout) { }
+              BufferedBytes held, IdleConnections idle, long connectTimeout) { }
--- a/router/src/test/java/ledgewall/FileWatchTest.java
+++ b/router/src/test/java/ledgewall/ConfigurationWatcherTest.java
@@ -10,14 +10,14 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-class FileWatchTest {
+class ConfigurationWatcherTest {
     @Test
     void eachOtherContentIsToldOnceWhateverItsTimeSays(@TempDir Path folder) throws IOException {
         Path file = folder.resolve("config.json");
         Files.writeString(file, "one");
         FileTime time = Files.getLastModifiedTime(file);
         AtomicInteger told = new AtomicInteger();
-        FileWatch watch = new FileWatch(file, told::incrementAndGet);
+        ConfigurationWatcher watch = new ConfigurationWatcher(file, told::incrementAndGet);
         watch.look();
         assertEquals(0, told.get());
         Files.writeString(file, "two");
--- a/router/src/test/java/ledgewall/discovery/FollowerTest.java
+++ b/router/src/test/java/ledgewall/discovery/MemberListWatcherTest.java
@@ -12,15 +12,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import ledgewall.discovery.Follower.Pace;
-import ledgewall.discovery.Follower.Purpose;
+import ledgewall.discovery.MemberListWatcher.Pace;
+import ledgewall.discovery.MemberListWatcher.Purpose;
 import ledgewall.discovery.Member.Phase;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Every way of missing a change that the architecture page lists, against a discovery in simulated time. */
-class FollowerTest {
+class MemberListWatcherTest {
     private static final long MS = 1_000_000L;
     private static final long STEP = 10 * MS;
     /** A question and its answer in the model: two steps each way. */
@@ -59,14 +59,14 @@
 
     /** One call's connection as discovery sees it. */
     private static final class Line {
-        private final Follower.Call call;
+        private final MemberListWatcher.Call call;
         private final long since;
         private boolean lost;
         private boolean first = true;
         private long sent;
         private long spokeAt;
 
-        private Line(Follower.Call call, boolean lost, long now) {
+        private Line(MemberListWatcher.Call call, boolean lost, long now) {
             this.call = call;
             this.lost = lost;
             this.since = call.target().contains("since=") ? Long.parseLong(call.target().split("since=")[1]) : -1;
@@ -76,11 +76,11 @@
 
     private final Map<InetSocketAddress, Discovery> discoveries = new HashMap<>();
     private final Map<InetSocketAddress, Mood> moods = new HashMap<>();
-    private final Map<Follower.Call, Line> lines = new LinkedHashMap<>();
+    private final Map<MemberListWatcher.Call, Line> lines = new LinkedHashMap<>();
     private final Map<String, Phase> heard = new HashMap<>();
     private final List<ListUpdate> updates = new ArrayList<>();
     private final Discovery discovery = new Discovery();
-    private Follower follower;
+    private MemberListWatcher follower;
     private boolean losesConnects;
     private int failures;
     private int mostOpen;
@@ -95,19 +95,19 @@
         discovery.members.put("b", member("b", Phase.READY));
         discoveries.put(HERE, discovery);
         discoveries.put(THERE, discovery);
-        follower = new Follower(HERE, discovery.whole(), onlyWhenAsked, pace);
+        follower = new MemberListWatcher(HERE, discovery.whole(), onlyWhenAsked, pace);
         heard.put("a", Phase.READY);
         heard.put("b", Phase.READY);
         carryOut(follower.start(now));
     }
 
-    private void carryOut(List<Follower.Step> steps) {
-        for (Follower.Step step : steps) {
-            if (step instanceof Follower.Open open) {
+    private void carryOut(List<MemberListWatcher.Step> steps) {
+        for (MemberListWatcher.Step step : steps) {
+            if (step instanceof MemberListWatcher.Open open) {
                 lines.put(open.call(), new Line(open.call(), losesConnects, now));
-            } else if (step instanceof Follower.Close close) {
+            } else if (step instanceof MemberListWatcher.Close close) {
                 assertTrue(lines.remove(close.call()) != null, "only what is open is closed");
-            } else if (step instanceof Follower.Learn learn) {
+            } else if (step instanceof MemberListWatcher.Learn learn) {
                 updates.add(learn.update());
                 if (learn.update().complete()) {
                     heard.clear();
@@ -247,7 +247,8 @@
     void aWatchThatLivesAndTellsNothingIsCaughtByTheNextCheckAndReplaced() {
         begin(Pace.USUAL, false);
         run(1_500 * MS);
-        Follower.Call stuck = lines.keySet().stream().filter(c -> c.purpose() == Purpose.WATCH).findFirst().orElseThrow();
+        MemberListWatcher.Call stuck = lines.keySet().stream().filter(c -> c.purpose() == Purpose.WATCH).findFirst()
+            .orElseThrow();
         moods.put(HERE, Mood.STUCK);
         awaitDrain("a", 1_000 * MS);
         run(1_100 * MS);
@@ -303,7 +304,7 @@
         moods.put(THERE, Mood.WELL);
         run(1_200 * MS);
         assertEquals(List.of(THERE), lines.keySet().stream().filter(c -> c.purpose() == Purpose.WATCH)
-            .map(Follower.Call::address).toList());
+            .map(MemberListWatcher.Call::address).toList());
         moods.put(HERE, Mood.REFUSES);
         awaitDrain("b", 0);
     }
@@ -344,7 +345,7 @@
         long end = now + 10_000 * MS;
         while (now < end) {
             discovery.revision = Math.max(1, discovery.revision - 1);
-            Map<Follower.Call, Line> before = new HashMap<>(lines);
+            Map<MemberListWatcher.Call, Line> before = new HashMap<>(lines);
             run(STEP);
             opened += lines.keySet().stream().filter(c -> !before.containsKey(c)).count();
         }
@@ -383,7 +384,7 @@
     @Test
     void afterAnyTroublesTheListIsKnownAgain() {
         for (int seed = 1; seed <= 300; seed++) {
-            FollowerTest world = new FollowerTest();
+            MemberListWatcherTest world = new MemberListWatcherTest();
             world.begin(Pace.USUAL, false);
             SplittableRandom random = new SplittableRandom(seed);
             for (int turn = 0; turn < 40; turn++) {
@@ -430,23 +431,23 @@
         }
     }
 
-    private static Follower ofMembers(int members) {
+    private static MemberListWatcher ofMembers(int members) {
         List<Member> list = new ArrayList<>();
         for (int i = 0; i < members; i++) {
             list.add(member("m" + i, Phase.READY));
         }
-        Follower follower = new Follower(HERE, new ListUpdate(41, true, list), false, Pace.USUAL);
+        MemberListWatcher follower = new MemberListWatcher(HERE, new ListUpdate(41, true, list), false, Pace.USUAL);
         follower.start(0);
         return follower;
     }
 
     /** Whole lists that are asked for in that time while nothing changes and each call is closed in time. */
     private static long wholeLists(int members, long span) {
-        Follower follower = ofMembers(members);
+        MemberListWatcher follower = ofMembers(members);
         long asked = 0;
         for (long now = 0; now < span; now += STEP) {
             asked += follower.tick(now).stream()
-                .filter(s -> s instanceof Follower.Open open && open.call().purpose() == Purpose.WHOLE).count();
+                .filter(s -> s instanceof MemberListWatcher.Open open && open.call().purpose() == Purpose.WHOLE).count();
         }
         return asked;
     }
@@ -464,12 +465,12 @@
     @ParameterizedTest
     @ValueSource(ints = {100, 64 * 1024})
     void aLargeListThatComesSlowlyIsAwaitedAndADripIsNot(int bytesPerHalfSecond) {
-        Follower slow = new Follower(HERE, new ListUpdate(41, true, List.of()), false, Pace.UNCHECKED);
-        Follower.Call watch = ((Follower.Open) slow.start(0).get(0)).call();
+        MemberListWatcher slow = new MemberListWatcher(HERE, new ListUpdate(41, true, List.of()), false, Pace.UNCHECKED);
+        MemberListWatcher.Call watch = ((MemberListWatcher.Open) slow.start(0).get(0)).call();
         boolean closed = false;
         for (long now = 0; now < 10_000 * MS; now += 500 * MS) {
             slow.heard(watch, false, true, bytesPerHalfSecond, now);
-            closed |= slow.tick(now).stream().anyMatch(s -> s instanceof Follower.Close close && close.call() == watch);
+            closed |= slow.tick(now).stream().anyMatch(s -> s instanceof MemberListWatcher.Close close && close.call() == watch);
         }
         assertEquals(bytesPerHalfSecond < 1_000, closed);
     }
--- a/router/src/test/java/ledgewall/net/ClientsTest.java
+++ b/router/src/test/java/ledgewall/net/ClientsTest.java
@@ -31,7 +31,7 @@
 /** What clients may say, and what they get for it. */
 @Timeout(60)
 class ClientsTest {
-    private final Rig rig = new Rig();
+    private final RouterHarness rig = new RouterHarness();
 
     @AfterEach
     void close() throws IOException {
@@ -69,7 +69,7 @@
     void aWholeConversationMayComeByteByByte() throws IOException {
         echo();
         Client client = rig.stranger();
-        for (byte b : Wire.join(Wire.startup("user", "u"), Rig.look("7"))) {
+        for (byte b : Wire.join(Wire.startup("user", "u"), RouterHarness.look("7"))) {
             client.send(new byte[] {b});
         }
         client.untilReady();
@@ -87,17 +87,18 @@
             List.of(put.requestClass(), put.tenant(), put.group(), put.retry()));
         assertTrue(put.session() > 0);
         assertEquals(RoutingPolicy.NONE, put.sinceWrite());
-        assertTrue(put.timeLeft() > 50_000 * Rig.MS && put.timeLeft() <= 60_000 * Rig.MS);
-        client.send(Wire.query(Rig.sql("id=b,c=look,t=other,d=60000,cluster=2")));
+        assertTrue(put.timeLeft() > 50_000 * RouterHarness.MS && put.timeLeft() <= 60_000 * RouterHarness.MS);
+        client.send(Wire.query(RouterHarness.sql("id=b,c=look,t=other,d=60000,cluster=2")));
         Arrival look = policy.next(Arrival.class);
         assertEquals(2, look.tenant());
         assertEquals(RoutingPolicy.NONE, look.session());
         long after = System.currentTimeMillis() - 5_000;
-        client.send(Wire.query(Rig.sql("id=c,c=own,t=other,d=60000,cluster=2,after=" + after)));
+        client.send(Wire.query(RouterHarness.sql("id=c,c=own,t=other,d=60000,cluster=2,after=" + after)));
         Arrival own = policy.next(Arrival.class);
         assertEquals(put.session(), own.session());
         assertEquals(2, own.tenant());
-        assertTrue(own.sinceWrite() >= 4_999 * Rig.MS && own.sinceWrite() < 60_000 * Rig.MS, "" + own.sinceWrite());
+        assertTrue(own.sinceWrite() >= 4_999 * RouterHarness.MS && own.sinceWrite() < 60_000 * RouterHarness.MS,
+            "" + own.sinceWrite());
     }
 
     @Test
@@ -105,7 +106,7 @@
         ScriptedPolicy policy = ScriptedPolicy.idle();
         rig.start(policy);
         Client client = rig.client();
-        client.send(Rig.look("1"), Wire.query("nonsense"), Rig.look("2"), Wire.query(""));
+        client.send(RouterHarness.look("1"), Wire.query("nonsense"), RouterHarness.look("2"), Wire.query(""));
         long first = policy.next(Arrival.class).request();
         long second = policy.next(Arrival.class).request();
         policy.command(new RoutingPolicy.Refuse(second, 0), new RoutingPolicy.Fail(first));
@@ -121,7 +122,7 @@
         Client client = rig.client();
         byte[][] queries = new byte[200][];
         for (int i = 0; i < queries.length; i++) {
-            queries[i] = Rig.look("" + i);
+            queries[i] = RouterHarness.look("" + i);
         }
         client.send(queries);
         for (int i = 0; i < queries.length; i++) {
@@ -134,14 +135,14 @@
         ScriptedPolicy policy = ScriptedPolicy.idle();
         rig.start(policy);
         Client client = rig.client();
-        client.send(Rig.look("1"));
+        client.send(RouterHarness.look("1"));
         long request = policy.next(Arrival.class).request();
-        policy.command(new RoutingPolicy.Refuse(request, 250 * Rig.MS), new RoutingPolicy.Fail(request),
+        policy.command(new RoutingPolicy.Refuse(request, 250 * RouterHarness.MS), new RoutingPolicy.Fail(request),
             new RoutingPolicy.Refuse(request, 0));
         Message refusal = client.untilReady().get(0);
         assertEquals("53300", refusal.field('C'));
         assertEquals("250", refusal.field('D'));
-        client.send(Rig.look("2"));
+        client.send(RouterHarness.look("2"));
         policy.command(new RoutingPolicy.Refuse(policy.next(Arrival.class).request(), 0));
         assertNull(client.untilReady().get(0).field('D'));
         assertEquals(2, rig.router().counts().of(Counters.Count.REFUSED));
@@ -152,9 +153,9 @@
     void aWaitBeyondAllTimeIsADay() throws IOException, InterruptedException {
         ScriptedPolicy policy = ScriptedPolicy.idle();
         rig.start(policy);
-        rig.client().send(Wire.query(Rig.sql("id=1,c=own,d=999999999999999,cluster=2,after=999999999999999")));
+        rig.client().send(Wire.query(RouterHarness.sql("id=1,c=own,d=999999999999999,cluster=2,after=999999999999999")));
         Arrival arrival = policy.next(Arrival.class);
-        assertTrue(arrival.timeLeft() > 0 && arrival.timeLeft() <= 86_400_000L * Rig.MS, "" + arrival.timeLeft());
+        assertTrue(arrival.timeLeft() > 0 && arrival.timeLeft() <= 86_400_000L * RouterHarness.MS, "" + arrival.timeLeft());
         assertEquals(RoutingPolicy.NONE, arrival.sinceWrite());
     }
 
@@ -163,7 +164,7 @@
         ScriptedPolicy policy = ScriptedPolicy.idle();
         rig.start(policy);
         Client client = rig.client();
-        client.send(Wire.query(Rig.sql("id=1,c=look,d=20,cluster=2")));
+        client.send(Wire.query(RouterHarness.sql("id=1,c=look,d=20,cluster=2")));
         assertEquals("08006", client.untilReady().get(0).field('C'));
         assertEquals(policy.next(Arrival.class).request(), policy.next(Lapsed.class).request());
         assertEquals(1, rig.router().counts().of(Counters.Count.OVERDUE));
@@ -176,7 +177,7 @@
     void whatIsNoRequestGetsAnOrdinaryError(String sql) throws IOException {
         echo();
         Client client = rig.client();
-        client.send(Wire.query(sql), Rig.look("5"));
+        client.send(Wire.query(sql), RouterHarness.look("5"));
         Message error = client.untilReady().get(0);
         assertEquals("42601", error.field('C'));
         assertEquals("5", value(client.untilReady()));
@@ -190,7 +191,7 @@
         assertEquals('N', client.readByte());
         client.send(Wire.packet(80877104));
         assertEquals('N', client.readByte());
-        client.send(Wire.startup("user", "u"), Rig.look("3"));
+        client.send(Wire.startup("user", "u"), RouterHarness.look("3"));
         client.untilReady();
         assertEquals("3", value(client.untilReady()));
     }
@@ -222,7 +223,8 @@
         echo();
         Client client = rig.client();
         client.send(Wire.message('P', Wire.text(""), Wire.text("SELECT 1"), Wire.int16(0)), Wire.message('B', new byte[8]),
-            Wire.message('H'), Rig.look("skipped"), Wire.message('E', new byte[5]), Wire.message('S'), Rig.look("8"));
+            Wire.message('H'), RouterHarness.look("skipped"), Wire.message('E', new byte[5]), Wire.message('S'),
+            RouterHarness.look("8"));
         List<Message> answer = client.untilReady();
         assertEquals(1, answer.size());
         assertEquals("0A000", answer.get(0).field('C'));
@@ -247,7 +249,7 @@
         assertEquals("FATAL", fatal.field('S'));
         assertEquals("08P01", fatal.field('C'));
         assertTrue(client.atEnd());
-        other.send(Rig.look("4"));
+        other.send(RouterHarness.look("4"));
         assertEquals("4", value(other.untilReady()));
     }
 
@@ -256,7 +258,7 @@
         ScriptedPolicy policy = ScriptedPolicy.idle();
         rig.start(policy);
         Client client = rig.client();
-        client.send(Rig.look("1"), Wire.message('~'));
+        client.send(RouterHarness.look("1"), Wire.message('~'));
         assertEquals("08006", client.untilReady().get(0).field('C'));
         assertEquals("08P01", client.read().field('C'));
         assertTrue(client.atEnd());
@@ -274,14 +276,14 @@
     @Test
     void aConversationCutAtAnyByteLeavesNothingBehind() throws IOException, InterruptedException {
         echo();
-        byte[] all = Wire.join(Wire.startup("user", "u"), Rig.look("1"));
+        byte[] all = Wire.join(Wire.startup("user", "u"), RouterHarness.look("1"));
         for (int cut = 0; cut < all.length; cut++) {
             try (Client client = new Client(rig.router().listening())) {
                 client.send(Arrays.copyOf(all, cut));
             }
         }
         Client client = rig.client();
-        client.send(Rig.look("2"));
+        client.send(RouterHarness.look("2"));
         assertEquals("2", value(client.untilReady()));
         assertEquals(1, rig.router().counts().of(Counters.Count.REQUESTS));
     }
@@ -300,7 +302,7 @@
             }
         }
         Client client = rig.client();
-        client.send(Rig.look("6"));
+        client.send(RouterHarness.look("6"));
         assertEquals("6", value(client.untilReady()));
     }
 
@@ -325,9 +327,9 @@
         Client second = rig.client();
         assertTrue(rig.stranger().atEnd());
         assertEquals(1, rig.router().counts().of(Counters.Count.CLIENTS_TURNED_AWAY));
-        first.send(Rig.look("1"));
+        first.send(RouterHarness.look("1"));
         policy.next(Arrival.class);
-        second.send(Rig.look("2"));
+        second.send(RouterHarness.look("2"));
         assertEquals("E", second.types());
         assertEquals(RoutingPolicy.Result.REJECTED, policy.next(Outcome.class).result());
         release.countDown();
@@ -341,14 +343,14 @@
         rig.host("m", StandInServer.host((connection, sql) -> connection.write(Wire.row(new byte[1]), Wire.ready())));
         rig.start(policy);
         Client owner = rig.client();
-        owner.send(Rig.look("1"));
+        owner.send(RouterHarness.look("1"));
         long request = policy.next(Arrival.class).request();
         Client thief = rig.client();
-        thief.send(Rig.look("1"));
+        thief.send(RouterHarness.look("1"));
         assertEquals("42601", thief.untilReady().get(0).field('C'));
         policy.command(new RoutingPolicy.Send(request, "m", 0));
         assertEquals("TDC", owner.types());
-        thief.send(Rig.look("1"));
+        thief.send(RouterHarness.look("1"));
         assertEquals("42601", thief.untilReady().get(0).field('C'));
     }
 
@@ -357,11 +359,11 @@
         ScriptedPolicy policy = ScriptedPolicy.idle();
         rig.start(policy);
         Client first = rig.client();
-        first.send(Rig.look("1"));
+        first.send(RouterHarness.look("1"));
         policy.next(Arrival.class);
         first.close();
         policy.next(Lapsed.class);
-        rig.client().send(Rig.look("1"));
+        rig.client().send(RouterHarness.look("1"));
         assertEquals(2, policy.next(Arrival.class).request());
     }
 
@@ -370,7 +372,7 @@
     void whatNoUsualClientAsksForReachesNobody(String fields) throws IOException {
         ScriptedPolicy policy = echo();
         Client client = rig.client();
-        client.send(Wire.query(Rig.sql(fields)));
+        client.send(Wire.query(RouterHarness.sql(fields)));
         assertEquals("42601", client.untilReady().get(0).field('C'));
         assertFalse(policy.hasHeard(Arrival.class));
     }
@@ -399,7 +401,7 @@
         long before = System.nanoTime();
         Client client = rig.stranger();
         byte[] startup = Wire.startup("user", "u");
-        byte[] query = Rig.look("1");
+        byte[] query = RouterHarness.look("1");
         client.send(switch (what) {
             case "nothing" -> new byte[0];
             case "half a startup" -> Arrays.copyOf(startup, 6);
@@ -413,7 +415,7 @@
         assertEquals("FATAL", last.field('S'));
         assertTrue(client.atEnd());
         long took = System.nanoTime() - before;
-        assertTrue(took > 2_000 * Rig.MS, "usual clients may be slow: " + took);
+        assertTrue(took > 2_000 * RouterHarness.MS, "usual clients may be slow: " + took);
         assertEquals(1, rig.router().counts().of(Counters.Count.SILENT_CLIENTS));
     }
 
@@ -447,7 +449,7 @@
         echo();
         for (int i = 0; i < 46; i++) {
             Client client = rig.client();
-            client.send(Rig.look("" + i));
+            client.send(RouterHarness.look("" + i));
             assertEquals("" + i, value(client.untilReady()));
         }
         while (!rig.router().sizes().contains("clients 40,")) {
@@ -462,7 +464,7 @@
         while (true) {
             Client client = rig.stranger();
             try {
-                client.send(Wire.startup("user", "u"), Rig.look(id));
+                client.send(Wire.startup("user", "u"), RouterHarness.look(id));
                 Message first = client.read();
                 if (first != null) {
                     client.untilReady();
@@ -475,7 +477,7 @@
         }
     }
 
-    /** Reading is suspended and resumed hundreds of times: see LastWordsProcessor for what MINA makes of that. */
+    /** Reading is suspended and resumed hundreds of times: see DrainBeforeResetProcessor for what MINA makes of that. */
     @RepeatedTest(3)
     void aClientThatDoesNotReadHoldsUpNobodyAndLosesNothing() throws IOException {
         ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
@@ -484,11 +486,11 @@
         rig.start(policy);
         Client slow = rig.client();
         byte[][] queries = new byte[800][];
-        Arrays.setAll(queries, i -> Rig.look("" + i));
+        Arrays.setAll(queries, i -> RouterHarness.look("" + i));
         slow.send(queries);
         Client client = rig.client();
         for (int i = 0; i < 20; i++) {
-            client.send(Rig.look("x" + i));
+            client.send(RouterHarness.look("x" + i));
             byte[] body = client.untilReady().get(1).body();
             assertArrayEquals(large, Arrays.copyOfRange(body, 6, body.length));
         }
@@ -518,10 +520,10 @@
         ScriptedPolicy policy = ScriptedPolicy.idle();
         rig.start(policy);
         Client small = rig.client();
-        small.send(Rig.look("small"));
+        small.send(RouterHarness.look("small"));
         byte[][] queries = new byte[120][];
         Arrays.setAll(queries, i -> Wire.query(
-            Rig.sql("id=large" + i + ",c=look,d=60000,cluster=2") + " -- " + "x".repeat(150_000)));
+            RouterHarness.sql("id=large" + i + ",c=look,d=60000,cluster=2") + " -- " + "x".repeat(150_000)));
         Client first = rig.client();
         first.send(Arrays.copyOf(queries, 60));
         Client second = rig.client();
--- a/router/src/test/java/ledgewall/net/FollowTest.java
+++ b/router/src/test/java/ledgewall/net/FollowTest.java
@@ -30,7 +30,7 @@
     private static final String ADDRESS = "127.0.0.1:9";
     private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-    private final Rig rig = new Rig();
+    private final RouterHarness rig = new RouterHarness();
     private final ScriptedPolicy policy = ScriptedPolicy.idle();
     /** The targets that the router asked for. */
     private final BlockingQueue<String> asked = new LinkedBlockingQueue<>();
@@ -77,7 +77,7 @@
     }
 
     private static String ready(String id) {
-        return Rig.entry(id, ADDRESS, "Ready", 0);
+        return RouterHarness.entry(id, ADDRESS, "Ready", 0);
     }
 
     private static void watch(StandInServer.Connection connection, String... lines) throws IOException {
@@ -94,8 +94,9 @@
 
     @Test
     void theWatchBeginsAtTheKnownRevisionAndChangesAreToldInOrder() throws IOException, InterruptedException {
-        start(connection -> watch(connection, list(42, false, Rig.entry("m", ADDRESS, "Terminating", 0)), "\n",
-            list(43, false, "{\"id\":\"m\",\"phase\":\"Gone\"}", Rig.entry("n", ADDRESS, "Ready", 1_767_225_600_123L))));
+        start(connection -> watch(connection, list(42, false, RouterHarness.entry("m", ADDRESS, "Terminating", 0)), "\n",
+            list(43, false, "{\"id\":\"m\",\"phase\":\"Gone\"}",
+                RouterHarness.entry("n", ADDRESS, "Ready", 1_767_225_600_123L))));
         assertEquals("/catalog/members?follow=1&since=41", askedNext());
         MemberList first = policy.next(MemberList.class);
         assertEquals(ListKind.CHANGES, first.kind());
@@ -146,7 +147,7 @@
 
     @Test
     void anEntryWithABadAddressDropsItsReplyWhole() throws IOException, InterruptedException {
-        start(connection -> watch(connection, list(42, true, ready("n"), Rig.entry("o", "nowhere", "Ready", 0))),
+        start(connection -> watch(connection, list(42, true, ready("n"), RouterHarness.entry("o", "nowhere", "Ready", 0))),
             connection -> watch(connection, list(43, true, ready("p"))));
         assertEquals("p", policy.next(MemberList.class).listings().get(0).member());
         assertEquals(1, rig.router().counts().of(Counters.Count.BAD_LISTS));
@@ -215,7 +216,7 @@
     void aChangeThatTheWatchHidesComesWithACheck() throws IOException, InterruptedException {
         rig.checked();
         start(connection -> watch(connection, list(41, false)),
-            connection -> watch(connection, list(42, false, Rig.entry("m", ADDRESS, "Terminating", 0))),
+            connection -> watch(connection, list(42, false, RouterHarness.entry("m", ADDRESS, "Terminating", 0))),
             connection -> watch(connection, list(42, false)));
         assertEquals("/catalog/members?follow=1&since=41", askedNext());
         assertEquals("/catalog/members?follow=1&since=41", askedNext());
--- a/router/src/test/java/ledgewall/net/ForgettingTest.java
+++ b/router/src/test/java/ledgewall/net/ForgettingTest.java
@@ -7,7 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import ledgewall.Brain;
+import ledgewall.ReplicaRoutingPolicy;
 import ledgewall.standin.Client;
 import ledgewall.standin.StandInServer;
 import ledgewall.standin.Wire;
@@ -21,7 +21,7 @@
     private static final int MEMBERS = 2_000;
     private static final int CLIENTS = 1_000;
 
-    private final Rig rig = new Rig();
+    private final RouterHarness rig = new RouterHarness();
 
     @AfterEach
     void close() throws IOException {
@@ -42,12 +42,12 @@
             connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.UTF_8));
             for (int i = 0; i < MEMBERS; i++) {
                 chunk(connection, "{\"revision\":" + (42 + i) + ",\"complete\":false,\"members\":[{\"id\":\"m" + (i - 1)
-                    + "\",\"phase\":\"Gone\"}," + Rig.entry("m" + i, host.address(), "Ready", 0) + "]}\n");
+                    + "\",\"phase\":\"Gone\"}," + RouterHarness.entry("m" + i, host.address(), "Ready", 0) + "]}\n");
             }
             replaced.countDown();
             connection.awaitEnd();
         });
-        Router router = rig.start(new Brain(RouterConfig.parse(
+        Router router = rig.start(new ReplicaRoutingPolicy(RouterConfig.parse(
             rig.config().getBytes(StandardCharsets.UTF_8), "config").settings(), 7));
         assertTrue(replaced.await(20, TimeUnit.SECONDS));
         for (int i = 0; i < CLIENTS; i++) {
--- a/router/src/test/java/ledgewall/net/NotesTest.java
+++ b/router/src/test/java/ledgewall/net/HostReportsTest.java
@@ -14,13 +14,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-class NotesTest {
+class HostReportsTest {
     private static final long NOW = 1_796_133_714_000_000_000L;
 
     /** Read as milliseconds, a replica's position lay in 1970 and no bounded read ever went to a replica. */
     @Test
     void aReportsPositionIsInUnixSeconds() {
-        Report report = Notes.report("x0=1796133713.021,x1=0", NOW);
+        Report report = HostReports.report("x0=1796133713.021,x1=0", NOW);
         assertEquals(1_796_133_713_021_000_000L, report.position());
         assertEquals(Role.REPLICA, report.role());
     }
@@ -28,20 +28,20 @@
     /** A host that has not reported yet says 0: evidence of long ago, which must not pass for today's. */
     @Test
     void aReportOfLongAgoIsNoMissingPosition() {
-        Report report = Notes.report("x0=0.000,x1=0", NOW);
+        Report report = HostReports.report("x0=0.000,x1=0", NOW);
         assertEquals(0, report.position());
         assertEquals(Role.REPLICA, report.role());
     }
 
     @Test
     void aReportWithoutPositionOrRoleTellsNeither() {
-        Report report = Notes.report("util=0.61, queue=4,novel=7,inflight=3", NOW);
+        Report report = HostReports.report("util=0.61, queue=4,novel=7,inflight=3", NOW);
         assertEquals(RoutingPolicy.NONE, report.position());
         assertEquals(Role.UNKNOWN, report.role());
         assertEquals(0.61, report.utilisation());
         assertEquals(4, report.queued());
-        assertTrue(Double.isNaN(Notes.report("x1=1", NOW).utilisation()));
-        assertNull(Notes.report(" ", NOW));
+        assertTrue(Double.isNaN(HostReports.report("x1=1", NOW).utilisation()));
+        assertNull(HostReports.report(" ", NOW));
     }
 
     /** Nonsense is no fact, and neither is what stands beside it. */
@@ -49,14 +49,14 @@
     @ValueSource(strings = {"x0=noise,x1=1", "x0=-5,x1=1", "x0=NaN,x1=1", "x0=Infinity,x1=0", "x0=1e300,x1=1",
         "x0=1796133999.0,x1=1", "x0=1796133713.0,x1=7", "x1", "=1", "x0=1796133713.0,x1=1,", "\u0000\u0001"})
     void aReportThatCannotBeReadTellsNothing(String text) {
-        assertNull(Notes.report(text, NOW));
+        assertNull(HostReports.report(text, NOW));
     }
 
     @Test
     void aCommitOfTheFutureIsNone() throws ProtocolException {
         Reply reply = new Reply();
         reply.accept(Wire.parameter("wal_time", "1796139999000"));
-        assertEquals(RoutingPolicy.NONE, Notes.position(reply, NOW));
+        assertEquals(RoutingPolicy.NONE, HostReports.position(reply, NOW));
     }
 
     @Test
@@ -64,19 +64,19 @@
         Reply reply = new Reply();
         reply.accept(Wire.parameter("mode", "read-write"));
         reply.accept(Wire.parameter("wal_time", "1796133713021"));
-        assertEquals(1_796_133_713_021_000_000L, Notes.position(reply, NOW));
-        assertEquals(Role.PRIMARY, Notes.role(reply));
+        assertEquals(1_796_133_713_021_000_000L, HostReports.position(reply, NOW));
+        assertEquals(Role.PRIMARY, HostReports.role(reply));
     }
 
     @Test
     void anAnswerWithoutNotesTellsNothing() throws ProtocolException {
         Reply reply = new Reply();
-        assertEquals(RoutingPolicy.NONE, Notes.position(reply, NOW));
-        assertEquals(Role.UNKNOWN, Notes.role(reply));
-        assertNull(Notes.report(reply, NOW));
+        assertEquals(RoutingPolicy.NONE, HostReports.position(reply, NOW));
+        assertEquals(Role.UNKNOWN, HostReports.role(reply));
+        assertNull(HostReports.report(reply, NOW));
         reply.accept(Wire.parameter("mode", "standby"));
         reply.accept(Wire.parameter("wal_time", "0"));
-        assertEquals(Role.UNKNOWN, Notes.role(reply));
-        assertEquals(RoutingPolicy.NONE, Notes.position(reply, NOW));
+        assertEquals(Role.UNKNOWN, HostReports.role(reply));
+        assertEquals(RoutingPolicy.NONE, HostReports.position(reply, NOW));
     }
 }
--- a/router/src/test/java/ledgewall/net/OutcomesTest.java
+++ b/router/src/test/java/ledgewall/net/OutcomesTest.java
@@ -39,7 +39,7 @@
 @Timeout(60)
 class OutcomesTest {
     private static final byte[] VALUE = {7, 0, (byte) 0xfe};
-    private final Rig rig = new Rig();
+    private final RouterHarness rig = new RouterHarness();
 
     @AfterEach
     void close() throws IOException {
@@ -51,10 +51,10 @@
         return outcome(rig.host("m", host), 0);
     }
 
-    private Outcome outcome(Rig with, long timeout) throws IOException, InterruptedException {
+    private Outcome outcome(RouterHarness with, long timeout) throws IOException, InterruptedException {
         ScriptedPolicy policy = ScriptedPolicy.sendTo("m", timeout);
         with.start(policy);
-        with.client().send(Rig.look("1"));
+        with.client().send(RouterHarness.look("1"));
         return policy.next(Outcome.class);
     }
 
@@ -70,7 +70,7 @@
             Wire.ready())));
         rig.start(policy);
         Client client = rig.client();
-        client.send(Rig.look("1"));
+        client.send(RouterHarness.look("1"));
         List<Message> answer = client.untilReady();
         assertEquals("TDC", answer.stream().map(m -> "" + m.type()).reduce("", String::concat));
         assertArrayEquals(Wire.join(Wire.int16(1), Wire.int32(VALUE.length), VALUE), answer.get(1).body());
@@ -98,14 +98,14 @@
             rig.member("m", "127.0.0.1:" + free.getLocalPort());
         }
         assertEquals(Result.NOT_CONNECTED, outcome(rig, 0).result());
-        assertEquals(1, rig.router().counts().of(Ending.CONNECT_REFUSED));
+        assertEquals(1, rig.router().counts().of(AttemptOutcome.CONNECT_REFUSED));
     }
 
     @Test
     void aConnectionThatNeverComesUpNeverRan() throws IOException, InterruptedException {
         rig.connectTimeout(50).host("m", new StandInServer(StandInServer.Connection::awaitEnd));
         assertEquals(Result.NOT_CONNECTED, outcome(rig, 0).result());
-        assertEquals(1, rig.router().counts().of(Ending.CONNECT_TIMED_OUT));
+        assertEquals(1, rig.router().counts().of(AttemptOutcome.CONNECT_TIMED_OUT));
     }
 
     /** A machine that is cut off: nobody accepts, the queue is full, and what asks to connect hears nothing. */
@@ -124,7 +124,7 @@
             }
             rig.connectTimeout(50).member("m", "127.0.0.1:" + silent.getLocalPort());
             assertEquals(Result.NOT_CONNECTED, outcome(rig, 0).result());
-            assertEquals(1, rig.router().counts().of(Ending.CONNECT_TIMED_OUT));
+            assertEquals(1, rig.router().counts().of(AttemptOutcome.CONNECT_TIMED_OUT));
             for (Socket socket : queued) {
                 socket.close();
             }
@@ -135,7 +135,7 @@
     void aConnectionThatEndsBeforeTheRequestIsWrittenNeverRan() throws IOException, InterruptedException {
         Outcome outcome = outcome(new StandInServer(connection -> Message.read(connection.in(), false)));
         assertEquals(Result.NOT_CONNECTED, outcome.result());
-        assertEquals(1, rig.router().counts().of(Ending.BROKEN_BEFORE_WRITTEN));
+        assertEquals(1, rig.router().counts().of(AttemptOutcome.BROKEN_BEFORE_WRITTEN));
     }
 
     @ParameterizedTest
@@ -153,7 +153,7 @@
             connection.welcome();
             connection.query();
         })).result());
-        assertEquals(1, rig.router().counts().of(Ending.BROKEN_AFTER_WRITTEN));
+        assertEquals(1, rig.router().counts().of(AttemptOutcome.BROKEN_AFTER_WRITTEN));
     }
 
     @Test
@@ -174,7 +174,7 @@
         })).result());
     }
 
-    /** MINA drops what it has read in the turn in which it meets a reset: see LastWordsProcessor. */
+    /** MINA drops what it has read in the turn in which it meets a reset: see DrainBeforeResetProcessor. */
     @Test
     void anAnswerThatComesWithAResetCounts() throws IOException, InterruptedException {
         // No connection is used twice: the next request would meet the reset itself.
@@ -190,7 +190,7 @@
         rig.start(policy);
         Client client = rig.client();
         for (int round = 0; round < 100; round++) {
-            client.send(Rig.look("" + round));
+            client.send(RouterHarness.look("" + round));
             assertEquals("TDC", client.types(), "round " + round);
             assertEquals(Result.OK, policy.next(Outcome.class).result());
         }
@@ -224,7 +224,7 @@
             ended.countDown();
         }));
         assertEquals(Result.RESET, outcome.result());
-        assertEquals(1, rig.router().counts().of(Ending.GARBLED));
+        assertEquals(1, rig.router().counts().of(AttemptOutcome.GARBLED));
         assertTrue(ended.await(20, TimeUnit.SECONDS));
     }
 
@@ -236,10 +236,10 @@
         rig.host("m", StandInServer.host((connection, sql) -> connection.write(Wire.error(code), Wire.ready())));
         rig.start(policy);
         Client client = rig.client();
-        client.send(Rig.look("1"));
+        client.send(RouterHarness.look("1"));
         assertEquals("42601", client.untilReady().get(0).field('C'));
         assertTrue(policy.next(Outcome.class).complete());
-        assertEquals(1, rig.router().counts().of(Ending.BAD_STATEMENT));
+        assertEquals(1, rig.router().counts().of(AttemptOutcome.BAD_STATEMENT));
     }
 
     /** Noise is met when it is seen: nobody waits for the end that it announces. */
@@ -259,7 +259,7 @@
             connection.awaitEnd();
         }));
         assertEquals(Result.RESET, outcome.result());
-        assertEquals(1, rig.router().counts().of(Ending.GARBLED));
+        assertEquals(1, rig.router().counts().of(AttemptOutcome.GARBLED));
     }
 
     /** A second copy right behind an answer, or noise, at once, later or in pieces: never another request's answer. */
@@ -282,7 +282,7 @@
         rig.start(policy);
         Client client = rig.client();
         for (int round = 100; round < 160; round++) {
-            client.send(Rig.look("" + round));
+            client.send(RouterHarness.look("" + round));
             byte[] body = client.untilReady().get(1).body();
             assertEquals("" + round, new String(body, 6, body.length - 6, java.nio.charset.StandardCharsets.US_ASCII));
         }
@@ -296,9 +296,9 @@
             connection.awaitEnd();
             ended.countDown();
         }));
-        Outcome outcome = outcome(rig, 30 * Rig.MS);
+        Outcome outcome = outcome(rig, 30 * RouterHarness.MS);
         assertEquals(Result.TIMED_OUT, outcome.result());
-        assertTrue(outcome.elapsed() >= 30 * Rig.MS);
+        assertTrue(outcome.elapsed() >= 30 * RouterHarness.MS);
         assertTrue(ended.await(20, TimeUnit.SECONDS));
     }
 
@@ -309,8 +309,8 @@
             queries.add(sql);
             connection.write(Wire.row(VALUE), Wire.ready());
         }));
-        outcome(rig, 1_500 * Rig.MS);
-        assertEquals(Rig.sql("id=1,c=look,t=acme,d=1500,cluster=2"), queries.poll(20, TimeUnit.SECONDS));
+        outcome(rig, 1_500 * RouterHarness.MS);
+        assertEquals(RouterHarness.sql("id=1,c=look,t=acme,d=1500,cluster=2"), queries.poll(20, TimeUnit.SECONDS));
     }
 
     @Test
@@ -325,7 +325,7 @@
         }));
         rig.start(policy);
         Client client = rig.client();
-        client.send(Rig.look("1"));
+        client.send(RouterHarness.look("1"));
         long request = policy.next(Arrival.class).request();
         assertTrue(asked.await(20, TimeUnit.SECONDS));
         policy.command(new RoutingPolicy.Cancel(request, 0), new RoutingPolicy.Cancel(request, 0),
@@ -348,7 +348,7 @@
         })).host("m", StandInServer.host((connection, sql) -> connection.write(Wire.row(VALUE), Wire.ready())));
         rig.start(policy);
         Client client = rig.client();
-        client.send(Rig.look("1"));
+        client.send(RouterHarness.look("1"));
         assertEquals("TDC", client.types());
         Outcome first = policy.next(Outcome.class);
         assertEquals("m", first.member());
@@ -379,7 +379,7 @@
         rig.oneAttemptAtATime().host("m", StandInServer.host((connection, sql) ->
             connection.write(Wire.row(VALUE), Wire.ready())));
         rig.start(policy);
-        rig.client().send(Rig.look("1"));
+        rig.client().send(RouterHarness.look("1"));
         int neverSent = 0;
         for (int i = 0; i < 5; i++) {
             Outcome outcome = policy.next(Outcome.class);
@@ -401,7 +401,7 @@
         }));
         rig.start(policy);
         Client client = rig.client();
-        client.send(Rig.look("1"));
+        client.send(RouterHarness.look("1"));
         assertTrue(asked.await(20, TimeUnit.SECONDS));
         client.close();
         assertEquals(policy.next(Lapsed.class).request(), 1);
@@ -422,7 +422,7 @@
                 both.countDown();
                 await(both);
             } else {
-                java.util.concurrent.locks.LockSupport.parkNanos(20 * Rig.MS); // work, longer than a rest
+                java.util.concurrent.locks.LockSupport.parkNanos(20 * RouterHarness.MS); // work, longer than a rest
             }
             connection.write(Wire.row(VALUE), Wire.ready());
         });
@@ -430,13 +430,13 @@
         rig.host("m", host).start(policy);
         Client one = rig.client();
         Client two = rig.client();
-        one.send(Rig.look("a1"));
-        two.send(Rig.look("a2"));
+        one.send(RouterHarness.look("a1"));
+        two.send(RouterHarness.look("a2"));
         assertEquals("TDC", one.types());
         assertEquals("TDC", two.types());
         used.clear();
         for (int i = 0; i < 4; i++) {
-            one.send(Rig.look("b" + i));
+            one.send(RouterHarness.look("b" + i));
             assertEquals("TDC", one.types());
         }
         assertTrue(host.accepted() <= 3, "one more at most, for the first that follows at once");
@@ -456,10 +456,10 @@
         ScriptedPolicy policy = ScriptedPolicy.sendTo("m", 0);
         rig.idle(100).host("m", host).start(policy);
         Client client = rig.client();
-        client.send(Rig.look("1"));
+        client.send(RouterHarness.look("1"));
         assertEquals("TDC", client.types());
         assertTrue(ended.await(20, TimeUnit.SECONDS));
-        client.send(Rig.look("2"));
+        client.send(RouterHarness.look("2"));
         assertEquals("TDC", client.types());
         assertNotEquals(1, host.accepted());
     }
@@ -477,7 +477,7 @@
         rig.host("m", host).start(policy);
         Client client = rig.client();
         for (int i = 0; i < 20; i++) {
-            client.send(Rig.look("" + i));
+            client.send(RouterHarness.look("" + i));
             assertEquals("TDC", client.types());
             assertTrue(closed.await(20, TimeUnit.SECONDS));
         }
@@ -499,19 +499,19 @@
         })).discovery(connection -> {
             await(moves);
             String line = "{\"revision\":42,\"complete\":false,\"members\":["
-                + Rig.entry("m", second.address(), "Ready", 0) + "]}\n";
+                + RouterHarness.entry("m", second.address(), "Ready", 0) + "]}\n";
             connection.write(("HTTP/1.1 200 OK\r\n\r\n" + line).getBytes(java.nio.charset.StandardCharsets.US_ASCII));
             connection.awaitEnd();
         });
         rig.start(policy);
         policy.next(RoutingPolicy.MemberList.class);
         Client client = rig.client();
-        client.send(Rig.look("1"));
+        client.send(RouterHarness.look("1"));
         assertEquals("TDC", client.types());
         moves.countDown();
         policy.next(RoutingPolicy.MemberList.class);
         assertTrue(ended.await(20, TimeUnit.SECONDS));
-        client.send(Rig.look("2"));
+        client.send(RouterHarness.look("2"));
         assertEquals("TDC", client.types());
         assertEquals(1, second.accepted());
     }
--- a/router/src/test/java/ledgewall/net/PartsTest.java
+++ b/router/src/test/java/ledgewall/net/PartsTest.java
@@ -41,17 +41,17 @@
     @Test
     void onlyWhatSurelyNeverRanEndsAsThat() {
         List<Result> neverRan = List.of(Result.NOT_CONNECTED, Result.REJECTED, Result.MISSED, Result.NEVER_SENT);
-        List<Ending> mayHaveRun = List.of(Ending.SERVED, Ending.BAD_STATEMENT, Ending.HOST_ERROR,
-            Ending.BROKEN_AFTER_WRITTEN, Ending.GARBLED,
-            Ending.TIMED_OUT, Ending.GIVEN_UP);
-        for (Ending ending : Ending.values()) {
+        List<AttemptOutcome> mayHaveRun = List.of(AttemptOutcome.SERVED, AttemptOutcome.BAD_STATEMENT, AttemptOutcome.HOST_ERROR,
+            AttemptOutcome.BROKEN_AFTER_WRITTEN, AttemptOutcome.GARBLED,
+            AttemptOutcome.TIMED_OUT, AttemptOutcome.GIVEN_UP);
+        for (AttemptOutcome ending : AttemptOutcome.values()) {
             assertEquals(!mayHaveRun.contains(ending), neverRan.contains(ending.result()), ending.name());
         }
     }
 
     @Test
     void namesBeyondTheListedGetStableIndexesAndABound() {
-        Names names = new Names(List.of("a", "b"));
+        NameInterner names = new NameInterner(List.of("a", "b"));
         assertEquals(1, names.index("b"));
         assertEquals(2, names.index("x"));
         assertEquals(3, names.index("y"));
@@ -80,7 +80,7 @@
         Counters counters = new Counters();
         counters.add(Counters.Count.REQUESTS, 3);
         assertEquals("requests=3", counters.toString());
-        counters.addEnding(Ending.TURNED_AWAY);
+        counters.addEnding(AttemptOutcome.TURNED_AWAY);
         assertEquals("requests=3 | attempts ended: turned_away=1", counters.toString());
     }
 
@@ -99,8 +99,8 @@
             return List.of();
         }, action -> { });
         loop.catchUpBy(() -> loop.post(() -> loop.tell(new Lapsed(1))));
-        loop.in(Rig.MS, () -> loop.tell(new RoutingPolicy.TimerDue(7)));
-        time.set(500 * Rig.MS);
+        loop.in(RouterHarness.MS, () -> loop.tell(new RoutingPolicy.TimerDue(7)));
+        time.set(500 * RouterHarness.MS);
         Thread thread = new Thread(loop);
         thread.start();
         assertTrue(done.await(20, TimeUnit.SECONDS));
@@ -131,7 +131,7 @@
             throw new IllegalStateException("one task's fault");
         });
         loop.post(() -> loop.tell(new Lapsed(2)));
-        loop.post(() -> loop.in(Rig.MS, done::countDown));
+        loop.post(() -> loop.in(RouterHarness.MS, done::countDown));
         Thread thread = new Thread(loop);
         thread.start();
         assertTrue(done.await(20, TimeUnit.SECONDS));
@@ -145,9 +145,9 @@
     @Test
     void timersThatAreCalledOffTakeNoMemoryUntilTheirTime() {
         EventLoop loop = new EventLoop(Clock.ofSystem(), new Counters());
-        EventLoop.Timer kept = loop.in(Rig.MS, () -> { });
+        EventLoop.Timer kept = loop.in(RouterHarness.MS, () -> { });
         for (int i = 0; i < 10_000; i++) {
-            loop.in(24 * 3_600_000L * Rig.MS, () -> { }).cancel();
+            loop.in(24 * 3_600_000L * RouterHarness.MS, () -> { }).cancel();
         }
         assertTrue(loop.timers() < 1_000, "timers " + loop.timers());
         kept.cancel();
--- a/router/src/test/java/ledgewall/net/PeersTest.java
+++ b/router/src/test/java/ledgewall/net/PeersTest.java
@@ -18,7 +18,7 @@
 @Timeout(60)
 class PeersTest {
     private static final int PATIENCE_MS = 20_000;
-    private final Rig rig = new Rig();
+    private final RouterHarness rig = new RouterHarness();
     private final ScriptedPolicy policy = ScriptedPolicy.idle();
 
     @AfterEach
--- a/router/src/test/java/ledgewall/net/PlainTest.java
+++ b/router/src/test/java/ledgewall/net/PlainTest.java
@@ -24,7 +24,7 @@
 /** Statements that bring no comment, and a classifier that says what they are. */
 @Timeout(60)
 class PlainTest {
-    private final Rig rig = new Rig();
+    private final RouterHarness rig = new RouterHarness();
     private final BlockingQueue<String> arrived = new LinkedBlockingQueue<>();
     private final List<Classifier.Request> asked = new ArrayList<>();
     private final AtomicInteger over = new AtomicInteger();
@@ -72,7 +72,7 @@
         Arrival arrival = policy.next(Arrival.class);
         assertEquals(0, arrival.requestClass());
         assertEquals(2, arrival.group());
-        assertTrue(arrival.timeLeft() > 50_000 * Rig.MS);
+        assertTrue(arrival.timeLeft() > 50_000 * RouterHarness.MS);
         assertEquals("u", asked.get(0).user());
         assertEquals("d", asked.get(0).database());
         assertEquals("127.0.0.1", asked.get(0).address());
@@ -87,12 +87,12 @@
         ScriptedPolicy policy = start();
         Client client = rig.client();
         String fields = "id=1,c=own,t=zeta,d=60000,cluster=2";
-        client.send(Wire.query(Rig.sql(fields)));
+        client.send(Wire.query(RouterHarness.sql(fields)));
         assertEquals("TDC", client.types());
         assertEquals(2, policy.next(Arrival.class).requestClass());
         assertEquals(0, asked.size());
         overrides = true;
-        client.send(Wire.query(Rig.sql(fields.replace("id=1", "id=2"))));
+        client.send(Wire.query(RouterHarness.sql(fields.replace("id=1", "id=2"))));
         assertEquals("TDC", client.types());
         assertEquals(0, policy.next(Arrival.class).requestClass());
         assertEquals("own", asked.get(0).comment().get("c"));
--- a/router/src/test/java/ledgewall/net/ProbesTest.java
+++ b/router/src/test/java/ledgewall/net/ProbesTest.java
@@ -23,7 +23,7 @@
 
 @Timeout(60)
 class ProbesTest {
-    private final Rig rig = new Rig();
+    private final RouterHarness rig = new RouterHarness();
     private final ScriptedPolicy policy = ScriptedPolicy.idle();
 
     @AfterEach
@@ -94,12 +94,12 @@
         StandInServer host = StandInServer.host((connection, sql) -> connection.write(report("x1=0"), Wire.ready()));
         ScriptedPolicy sends = ScriptedPolicy.sendTo("m", 0);
         rig.host("m", host).start(sends);
-        rig.client().send(Rig.look("1"));
+        rig.client().send(RouterHarness.look("1"));
         sends.next(RoutingPolicy.Outcome.class);
         sends.command(new RoutingPolicy.Disconnect("m"), new RoutingPolicy.Disconnect("unknown"),
             new RoutingPolicy.Probe("unknown"), new RoutingPolicy.Note("noted"), new RoutingPolicy.Probe("m"));
         sends.next(ProbeResult.class);
-        rig.client().send(Rig.look("2"));
+        rig.client().send(RouterHarness.look("2"));
         sends.next(RoutingPolicy.Outcome.class);
         assertEquals(3, host.accepted());
     }
--- a/router/src/test/java/ledgewall/net/Rig.java
+++ b/router/src/test/java/ledgewall/net/RouterHarness.java
@@ -6,13 +6,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import ledgewall.RoutingPolicy;
-import ledgewall.discovery.Follower;
+import ledgewall.discovery.MemberListWatcher;
 import ledgewall.standin.Client;
 import ledgewall.standin.StandInServer;
 import ledgewall.standin.Wire;
 
 /** A router with a scripted policy between stand-ins, closed together at the end of a test. */
-final class Rig implements Closeable {
+final class RouterHarness implements Closeable {
     static final long MS = 1_000_000L;
     /** Waits for watches and says nothing. */
     private static final StandInServer.Script SILENT = StandInServer.Connection::awaitEnd;
@@ -28,16 +28,16 @@
     private String listen = "127.0.0.1:0";
     private boolean parallel = true;
     /** A script tells calls apart by their order, so only tests of checks have them. */
-    private Follower.Pace pace = Follower.Pace.UNCHECKED;
+    private MemberListWatcher.Pace pace = MemberListWatcher.Pace.UNCHECKED;
     private Classifier classifier;
     private Router router;
 
-    Rig host(String id, StandInServer host) {
+    RouterHarness host(String id, StandInServer host) {
         parts.add(host::close);
         return member(id, host.address());
     }
 
-    Rig member(String id, String address) {
+    RouterHarness member(String id, String address) {
         members.add(entry(id, address, "Ready", 0));
         return this;
     }
@@ -47,7 +47,7 @@
             + "\"cell\":2,\"phase\":\"" + phase + "\",\"size\":1.0,\"up_since_ms\":" + up + "}";
     }
 
-    Rig discovery(StandInServer.Script script) throws IOException {
+    RouterHarness discovery(StandInServer.Script script) throws IOException {
         discovery = new StandInServer(script);
         parts.add(discovery::close);
         return this;
@@ -57,47 +57,47 @@
         return discovery.address();
     }
 
-    Rig connectTimeout(long millis) {
+    RouterHarness connectTimeout(long millis) {
         connectTimeoutMs = millis;
         return this;
     }
 
-    Rig idle(long millis) {
+    RouterHarness idle(long millis) {
         idleMs = millis;
         return this;
     }
 
-    Rig sockets(int count) {
+    RouterHarness sockets(int count) {
         sockets = count;
         return this;
     }
 
-    Rig listsOnlyWhenAsked() {
+    RouterHarness listsOnlyWhenAsked() {
         push = "ask";
         return this;
     }
 
-    Rig classifier(Classifier says) {
+    RouterHarness classifier(Classifier says) {
         classifier = says;
         return this;
     }
 
-    Rig checked() {
-        pace = Follower.Pace.USUAL;
+    RouterHarness checked() {
+        pace = MemberListWatcher.Pace.USUAL;
         return this;
     }
 
-    Rig oneAttemptAtATime() {
+    RouterHarness oneAttemptAtATime() {
         parallel = false;
         return this;
     }
 
-    Rig listen(String address) {
+    RouterHarness listen(String address) {
         listen = address;
         return this;
     }
 
-    Rig peers(String json) {
+    RouterHarness peers(String json) {
         peers = json;
         return this;
     }
--- a/router/src/test/java/ledgewall/net/StartTest.java
+++ b/router/src/test/java/ledgewall/net/StartTest.java
@@ -21,7 +21,7 @@
 
 @Timeout(60)
 class StartTest {
-    private final Rig rig = new Rig();
+    private final RouterHarness rig = new RouterHarness();
 
     @AfterEach
     void close() throws IOException {
@@ -44,8 +44,8 @@
         assertEquals(new InetSocketAddress("127.0.0.7", 3), config.peersAll());
         assertEquals(41, config.known().revision());
         assertEquals(3, config.settings().classes().size());
-        assertEquals(10_000 * Rig.MS, config.transport().connectTimeout());
-        assertEquals(900 * Rig.MS, config.transport().longestDeadline());
+        assertEquals(10_000 * RouterHarness.MS, config.transport().connectTimeout());
+        assertEquals(900 * RouterHarness.MS, config.transport().longestDeadline());
         assertTrue(config.transport().reports());
     }
 
--- a/router/src/test/java/ledgewall/net/StopTest.java
+++ b/router/src/test/java/ledgewall/net/StopTest.java
@@ -21,7 +21,7 @@
 /** A planned stop loses nothing that was taken. */
 @Timeout(60)
 class StopTest {
-    private final Rig rig = new Rig();
+    private final RouterHarness rig = new RouterHarness();
 
     @AfterEach
     void close() throws IOException {
@@ -56,7 +56,7 @@
         }));
         Router router = rig.start(ScriptedPolicy.sendTo("m", 0));
         Client client = rig.client();
-        client.send(Rig.look("1"));
+        client.send(RouterHarness.look("1"));
         assertTrue(asked.await(20, TimeUnit.SECONDS));
         router.drain();
         release.countDown();
@@ -75,9 +75,9 @@
         router.drain();
         Client late = rig.client();
         for (int i = 0; i < 3; i++) { // other routers may be restarting too
-            old.send(Rig.look("old" + i));
+            old.send(RouterHarness.look("old" + i));
             assertEquals("TDC", old.types());
-            late.send(Rig.look("late" + i));
+            late.send(RouterHarness.look("late" + i));
             assertEquals("TDC", late.types());
         }
         assertTrue(old.atEnd());
@@ -91,7 +91,7 @@
         ScriptedPolicy policy = ScriptedPolicy.idle();
         Router router = rig.start(policy);
         Client client = rig.client();
-        client.send(Rig.look("1"));
+        client.send(RouterHarness.look("1"));
         policy.next(Arrival.class);
         router.drain();
         assertEquals("08006", client.untilReady().get(0).field('C'));
--- a/router/src/test/java/ledgewall/net/RehearsalTest.java
+++ b/router/src/test/java/ledgewall/net/WarmUpTest.java
@@ -7,14 +7,14 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import ledgewall.Brain;
+import ledgewall.ReplicaRoutingPolicy;
 import org.junit.jupiter.api.Test;
 
-class RehearsalTest {
+class WarmUpTest {
     /** What is never asked for is never compiled: the policy has to send, and to hear of answers. */
     @Test
     void madeUpRequestsAreServedThroughTheSettingsOwnClasses() throws IOException {
-        long served = Rehearsal.run(RouterConfig.read(Path.of("deploy/rehearsal.json")), Brain::new);
+        long served = WarmUp.run(RouterConfig.read(Path.of("deploy/rehearsal.json")), ReplicaRoutingPolicy::new);
         assertTrue(served > 100, "" + served);
     }
 
@@ -25,7 +25,7 @@
         String many = few.replaceFirst("\"peersTotal\": *\\d+", "\"peersTotal\": 100")
             .replaceFirst("\"peers\": *\\[[^]]*\\],", "");
         assertNotEquals(few, many);
-        long served = Rehearsal.run(RouterConfig.parse(many.getBytes(StandardCharsets.UTF_8), "many"), Brain::new);
+        long served = WarmUp.run(RouterConfig.parse(many.getBytes(StandardCharsets.UTF_8), "many"), ReplicaRoutingPolicy::new);
         assertTrue(served > 0 && served <= 60, "" + served);
     }
 }
--- a/router/src/test/java/ledgewall/simhost/SimHostTest.java
+++ b/router/src/test/java/ledgewall/simhost/SimHostTest.java
@@ -10,7 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import ledgewall.Brain;
+import ledgewall.ReplicaRoutingPolicy;
 import ledgewall.RoutingPolicy;
 import ledgewall.RoutingPolicy.*;
 import ledgewall.settings.FormatException;
@@ -169,7 +169,7 @@
 
     private static String serve(String lines) throws IOException {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        new SimHost(Brain::new).serve(new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)), out);
+        new SimHost(ReplicaRoutingPolicy::new).serve(new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)), out);
         return out.toString(StandardCharsets.UTF_8);
     }
 }
