Spread the calls to discovery of routers that start or lose it together

Routers that start together asked for their first whole list in the same second (100 of 100 in the 151st with 3,200 members, some 60 MB), and after an outage opened their watches in step.

--- a/router/src/main/java/ledgewall/discovery/MemberListWatcher.java
+++ b/router/src/main/java/ledgewall/discovery/MemberListWatcher.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 
 /**
  * Decides how the list is followed, so that what a router knows never hangs on one connection being well: a watch, and
@@ -121,6 +122,7 @@
 
     private final boolean onlyWhenAsked;
     private final Pace pace;
+    private final SplittableRandom random;
     /** Open calls: a watch, the one before it while discovery moves, checks of a second each, and what the policy asks. */
     private final Set<Call> open = new HashSet<>();
     /** What was told last of each member; one that is gone leaves. As many as the newest list has. */
@@ -144,19 +146,21 @@
      * Follows from the list that is known already.
      *
      * @param onlyWhenAsked whether discovery tells something only when the policy asks for it
+     * @param seed spreads the calls of routers that start, or lose discovery, at the same moment
      */
-    public MemberListWatcher(InetSocketAddress address, ListUpdate list, boolean onlyWhenAsked, Pace pace) {
+    public MemberListWatcher(InetSocketAddress address, ListUpdate list, boolean onlyWhenAsked, Pace pace, long seed) {
         this.address = address;
         this.revision = list.revision();
         this.onlyWhenAsked = onlyWhenAsked;
         this.pace = pace;
+        this.random = new SplittableRandom(seed);
         this.anewAt = Long.MIN_VALUE / 2;
         list.members().forEach(this::remember);
     }
 
     /** Begins to follow, where that is discovery's way. */
     public List<Step> start(long now) {
-        wholeAt = now + wholeGap();
+        wholeAt = now + wholeGap() + random.nextLong(1 + wholeGap());
         if (!onlyWhenAsked) {
             watch(now);
         }
@@ -423,7 +427,7 @@
             steps.add(new Failed());
         }
         if (watched && !onlyWhenAsked) {
-            watchAt = now + gap;
+            watchAt = now + gap / 2 + random.nextLong(gap / 2);
             gap = Math.min(LONGEST_GAP, 2 * gap);
         }
     }
--- a/router/src/main/java/ledgewall/net/Discovery.java
+++ b/router/src/main/java/ledgewall/net/Discovery.java
@@ -40,7 +40,8 @@
         this.wiring = wiring;
         this.members = members;
         this.address = config.discovery();
-        this.follower = new MemberListWatcher(address, config.known(), config.settings().askForList(), pace);
+        this.follower = new MemberListWatcher(address, config.known(), config.settings().askForList(), pace,
+            config.seed());
     }
 
     /** Begins to follow unasked, where that is discovery's way. */
--- a/router/src/test/java/ledgewall/discovery/MemberListWatcherTest.java
+++ b/router/src/test/java/ledgewall/discovery/MemberListWatcherTest.java
@@ -26,6 +26,7 @@
     /** A question and its answer in the model: two steps each way. */
     private static final long TURN = 4 * STEP;
     private static final long BLANK_EVERY = 2_000 * MS;
+    private static final long SEED = 28;
     private static final InetSocketAddress HERE = new InetSocketAddress("127.0.0.1", 8500);
     private static final InetSocketAddress THERE = new InetSocketAddress("127.0.0.1", 8501);
 
@@ -95,7 +96,7 @@
         discovery.members.put("b", member("b", Phase.READY));
         discoveries.put(HERE, discovery);
         discoveries.put(THERE, discovery);
-        follower = new MemberListWatcher(HERE, discovery.whole(), onlyWhenAsked, pace);
+        follower = new MemberListWatcher(HERE, discovery.whole(), onlyWhenAsked, pace, SEED);
         heard.put("a", Phase.READY);
         heard.put("b", Phase.READY);
         carryOut(follower.start(now));
@@ -431,19 +432,19 @@
         }
     }
 
-    private static MemberListWatcher ofMembers(int members) {
+    private static MemberListWatcher ofMembers(int members, long seed) {
         List<Member> list = new ArrayList<>();
         for (int i = 0; i < members; i++) {
             list.add(member("m" + i, Phase.READY));
         }
-        MemberListWatcher follower = new MemberListWatcher(HERE, new ListUpdate(41, true, list), false, Pace.USUAL);
+        MemberListWatcher follower = new MemberListWatcher(HERE, new ListUpdate(41, true, list), false, Pace.USUAL, seed);
         follower.start(0);
         return follower;
     }
 
     /** Whole lists that are asked for in that time while nothing changes and each call is closed in time. */
     private static long wholeLists(int members, long span) {
-        MemberListWatcher follower = ofMembers(members);
+        MemberListWatcher follower = ofMembers(members, SEED);
         long asked = 0;
         for (long now = 0; now < span; now += STEP) {
             asked += follower.tick(now).stream()
@@ -465,7 +466,8 @@
     @ParameterizedTest
     @ValueSource(ints = {100, 64 * 1024})
     void aLargeListThatComesSlowlyIsAwaitedAndADripIsNot(int bytesPerHalfSecond) {
-        MemberListWatcher slow = new MemberListWatcher(HERE, new ListUpdate(41, true, List.of()), false, Pace.UNCHECKED);
+        MemberListWatcher slow = new MemberListWatcher(HERE, new ListUpdate(41, true, List.of()), false, Pace.UNCHECKED,
+            SEED);
         MemberListWatcher.Call watch = ((MemberListWatcher.Open) slow.start(0).get(0)).call();
         boolean closed = false;
         for (long now = 0; now < 10_000 * MS; now += 500 * MS) {
@@ -474,4 +476,24 @@
         }
         assertEquals(bytesPerHalfSecond < 1_000, closed);
     }
+
+    private static boolean asksForWhole(MemberListWatcher follower, long now) {
+        return follower.tick(now).stream()
+            .anyMatch(s -> s instanceof MemberListWatcher.Open open && open.call().purpose() == Purpose.WHOLE);
+    }
+
+    @Test
+    void aHundredRoutersThatStartTogetherDoNotAskForTheWholeListTogether() {
+        int routers = 100;
+        Map<Long, Integer> asked = new HashMap<>();
+        for (int router = 0; router < routers; router++) {
+            MemberListWatcher follower = ofMembers(3_200, router);
+            long now = 0;
+            while (!asksForWhole(follower, now)) {
+                now += STEP;
+            }
+            asked.merge(now / (1_000 * MS), 1, Integer::sum);
+        }
+        assertTrue(asked.values().stream().allMatch(inASecond -> inASecond <= routers / 10), asked.toString());
+    }
 }
