Do not have all routers ask the same member first

Of members as likely one is drawn now, and of more than four routers each spreads its rounds over a period from the start, and the next ones over a second period.

FleetSizeTest had its primaries first in each group, where such a search finds them at once; now they stand at another place in each. The test of a read that needs a proven position asks ten reads instead of one, as rounds may now fall into its turn: none may go to the primary, and probes are bounded by reads and rounds.

--- a/core/src/main/java/ledgewall/ProbeScheduler.java
+++ b/core/src/main/java/ledgewall/ProbeScheduler.java
@@ -1,6 +1,7 @@
 package ledgewall;
 
 import java.util.Comparator;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import ledgewall.RoutingPolicy.*;
@@ -40,11 +41,16 @@
     private static final double FLEET_FINDINGS = 40;
     private static final double FINDING_BURST = 10;
 
+    /** Members whose role was heard of longest ago first, of these the ones with a connection left. */
+    private static final Comparator<Member> LIKELIEST =
+        Comparator.<Member>comparingLong(m -> m.roleAt).thenComparingLong(m -> -m.contactedAt());
+
     private final Settings settings;
     private final SplittableRandom random;
     private final Freshness freshness;
     private final Consumer<Action> actions;
     private final boolean shared;
+    private final boolean many;
     private final DueQueue<Member> rounds = new DueQueue<>();
     private final DueQueue<Member> urgent = new DueQueue<>();
     private final TokenBucket background;
@@ -57,6 +63,7 @@
         this.freshness = freshness;
         this.actions = actions;
         this.shared = isShared(settings);
+        this.many = settings.routers() > HANDFUL;
         double burst = MOST_BACKGROUND_BURST * Math.min(1, HANDFUL / (double) settings.routers());
         this.background = new TokenBucket(FLEET_BACKGROUND_ROUNDS / settings.routers(),
             Math.max(LEAST_BACKGROUND_BURST, burst), now);
@@ -72,7 +79,7 @@
     /** A member is listed as serving, of so many in all. */
     void onServing(Member member, int members, long now) {
         if (member.roundDue == Long.MIN_VALUE) {
-            member.roundDue = shared ? now + random.nextLong(roundPeriod(members)) : now;
+            member.roundDue = many ? now + random.nextLong(roundPeriod(members)) : now;
         }
         rounds.put(member, member.roundDue);
     }
@@ -174,20 +181,20 @@
     }
 
     /**
-     * Asks the members of a group without a primary for their role, one after the other: those first whose role was heard of
-     * longest ago, of these the ones with a connection left. The first pass is free, for without it no write of the group
-     * can be sent; others take from the probes' rate.
+     * Asks the members of a group without a primary for their role, one after the other. The first pass is free, for without
+     * it no write of the group can be sent; others take from the probes' rate.
      */
     void searchPrimary(Group group, long now) {
         if (!group.lacksPrimary() || group.members.stream().anyMatch(m -> m.probing && now < m.probedAt + SEARCH_HEDGE)) {
             return;
         }
-        Member next = group.members.stream()
-            .filter(m -> m.phase == Phase.SERVING && !m.probing && now >= m.urgentDue)
-            .min(Comparator.<Member>comparingLong(m -> m.roleAt).thenComparingLong(m -> -m.contactedAt())).orElse(null);
-        if (next == null) {
+        List<Member> candidates = group.members.stream()
+            .filter(m -> m.phase == Phase.SERVING && !m.probing && now >= m.urgentDue).sorted(LIKELIEST).toList();
+        if (candidates.isEmpty()) {
             return;
         }
+        long likeliest = candidates.stream().filter(m -> LIKELIEST.compare(m, candidates.get(0)) == 0).count();
+        Member next = candidates.get(random.nextInt((int) likeliest));
         int pass = group.searches / group.members.size();
         if (pass > 0 && !take(now)) {
             return;
@@ -204,7 +211,7 @@
     private void startRound(Member member, int members, long now) {
         member.roundDue = nextRound(members, now);
         rounds.put(member, member.roundDue);
-        member.pingsLeft = !shared && settings.routers() > HANDFUL ? 1 : PINGS;
+        member.pingsLeft = many && !shared ? 1 : PINGS;
         probe(member, now);
     }
 
@@ -217,13 +224,16 @@
         }
     }
 
-    /** The paper's period or, in a fleet that shares what it finds, so long that all findings stay within their rate. */
+    /**
+     * The paper's period or, in a fleet that shares what it finds, so long that all findings stay within their rate. Each of many
+     * routers has times of its own, so that not all of them come to one member at once.
+     */
     private long nextRound(int members, long now) {
-        return now + (shared ? roundPeriod(members) + random.nextLong(roundPeriod(members)) : PERIOD);
+        return now + (many ? roundPeriod(members) + random.nextLong(roundPeriod(members)) : PERIOD);
     }
 
-    private static long roundPeriod(int members) {
-        return Math.max(PERIOD, (long) (members * SECOND / (FLEET_FINDINGS / 2)));
+    private long roundPeriod(int members) {
+        return shared ? Math.max(PERIOD, (long) (members * SECOND / (FLEET_FINDINGS / 2))) : PERIOD;
     }
 
     /** Each router's gap is its own, so that of many one asks soon and the others hear of it. */
--- a/core/src/test/java/ledgewall/PolicyFleetCostTest.java
+++ b/core/src/test/java/ledgewall/PolicyFleetCostTest.java
@@ -6,6 +6,7 @@
 
 import com.sun.management.ThreadMXBean;
 import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
 import java.util.List;
 import ledgewall.RoutingPolicy.*;
 import org.junit.jupiter.api.Test;
@@ -62,11 +63,26 @@
         Settings few = PolicyHarness.settings(Effect.AT_MOST_ONCE, Behind.ANSWERS, false);
         PolicyHarness bench = new PolicyHarness(new Settings(ROUTERS, RANK, 0, few.tick(), false, few.classes(), few.tenants(), 1,
             few.limits(), few.data(), few.rules())).ready();
-        bench.now += 3 * SECOND;
-        List<Action> actions = bench.ask(PolicyHarness.BOUNDED);
-        assertEquals(List.of(), PolicyHarness.sends(actions));
-        List<String> probed = actions.stream().filter(Probe.class::isInstance).map(a -> ((Probe) a).member()).toList();
-        assertEquals(1, probed.size());
-        assertEquals(probed, PolicyHarness.sends(bench.echo(probed.get(0), Role.REPLICA, bench.now)));
+        int reads = 10;
+        long apart = SECOND + SECOND / 10; // longer than the bound of such a read
+        List<String> sent = new ArrayList<>();
+        int probes = 0;
+        for (int read = 0; read < reads; read++) {
+            bench.now += apart;
+            List<Action> actions = bench.ask(PolicyHarness.BOUNDED);
+            for (Action action : actions) {
+                if (action instanceof Probe probe) {
+                    probes++;
+                    Role role = probe.member().equals("p") ? Role.PRIMARY : Role.REPLICA;
+                    sent.addAll(PolicyHarness.sends(bench.echo(probe.member(), role, bench.now)));
+                }
+            }
+            sent.addAll(PolicyHarness.sends(actions));
+            bench.outcome(bench.lastRequest(), 0, sent.get(sent.size() - 1), Result.OK, Role.REPLICA);
+        }
+        assertEquals(reads, sent.size());
+        assertTrue(!sent.contains("p"), sent.toString());
+        long rounds = 3 * (reads * apart / (5 * SECOND) + 1);
+        assertTrue(probes <= reads + rounds, "probes " + probes);
     }
 }
--- a/router/src/test/java/ledgewall/fleet/FaultSoakTest.java
+++ b/router/src/test/java/ledgewall/fleet/FaultSoakTest.java
@@ -47,7 +47,7 @@
         try (HostFarm primaries = new HostFarm(true); HostFarm replicas = new HostFarm(false)) {
             List<String> entries = new ArrayList<>();
             for (int i = 0; i < hosts; i++) {
-                entries.add(FleetConfig.entry(i, (i % FleetConfig.GROUP == 0 ? primaries : replicas).address(), 0));
+                entries.add(FleetConfig.entry(i, (FleetConfig.isPrimary(i) ? primaries : replicas).address(), 0));
             }
             try (MemberDirectory directory = new MemberDirectory(entries);
                     RouterProcess router = new RouterProcess(folder, FleetConfig.router(directory, sockets, ""));
@@ -108,7 +108,7 @@
     private static List<String> restarts(SplittableRandom random, HostFarm replicas, int hosts) {
         List<String> changed = new ArrayList<>();
         for (int host = 0; host < hosts; host++) {
-            if (host % FleetConfig.GROUP != 0 && random.nextInt(3) == 0) {
+            if (!FleetConfig.isPrimary(host) && random.nextInt(3) == 0) {
                 changed.add(FleetConfig.entry(host, replicas.address(), System.currentTimeMillis()));
             }
         }
@@ -117,10 +117,10 @@
 
     private static List<String> newPrimaries(SplittableRandom random, HostFarm primaries, HostFarm replicas, int hosts) {
         List<String> changed = new ArrayList<>();
-        for (int first = 0; first < hosts; first += FleetConfig.GROUP) {
+        for (int group = 0; group < hosts / FleetConfig.GROUP; group++) {
             if (random.nextInt(4) == 0) {
-                changed.add(FleetConfig.entry(first, replicas.address(), 0));
-                changed.add(FleetConfig.entry(first + 1, primaries.address(), 0));
+                changed.add(FleetConfig.entry(FleetConfig.primary(group), replicas.address(), 0));
+                changed.add(FleetConfig.entry(FleetConfig.successor(group), primaries.address(), 0));
             }
         }
         return changed;
--- a/router/src/test/java/ledgewall/fleet/FleetConfig.java
+++ b/router/src/test/java/ledgewall/fleet/FleetConfig.java
@@ -4,12 +4,26 @@
 final class FleetConfig {
     static final int ROUTERS = 100;
     static final int RANK = 7;
-    /** Hosts of a group; the first is its primary. */
+    /** Hosts of a group. */
     static final int GROUP = 4;
 
     private FleetConfig() {
     }
 
+    /** The number of a group's primary: not at the same place in each group. */
+    static int primary(int group) {
+        return group * GROUP + group % GROUP;
+    }
+
+    static boolean isPrimary(int host) {
+        return host == primary(host / GROUP);
+    }
+
+    /** The number of the member that takes a primary's place. */
+    static int successor(int group) {
+        return group * GROUP + (group + 1) % GROUP;
+    }
+
     static String entry(int host, String address, long startedAt) {
         return "{\"id\":\"s-" + host + "\",\"host_port\":\"" + address + "\",\"locality\":\"south\",\"flavor\":\"small\","
             + "\"cell\":" + host / GROUP + ",\"phase\":\"Ready\",\"size\":1.0,\"up_since_ms\":" + startedAt + "}";
--- a/router/src/test/java/ledgewall/fleet/FleetSizeTest.java
+++ b/router/src/test/java/ledgewall/fleet/FleetSizeTest.java
@@ -53,14 +53,15 @@
             replicas.mood(scene.mood());
             List<String> entries = new ArrayList<>();
             for (int i = 0; i < scene.hosts(); i++) {
-                entries.add(FleetConfig.entry(i, (i % GROUP == 0 ? primaries : replicas).address(), 0));
+                entries.add(FleetConfig.entry(i, (FleetConfig.isPrimary(i) ? primaries : replicas).address(), 0));
             }
             try (MemberDirectory directory = new MemberDirectory(entries);
                     RouterProcess router = new RouterProcess(folder,
                         FleetConfig.router(directory, scene.sockets(), scene.fellows() ? fellows.config() : ""));
                     ClientCrowd clients = new ClientCrowd(router.address(), scene.hosts() / GROUP, SEED)) {
                 double before = router.processorSeconds();
-                fellows.tellPrimaries(IntStream.range(0, scene.hosts() / GROUP).mapToObj(i -> "s-" + i * GROUP).toList());
+                fellows.tellPrimaries(IntStream.range(0, scene.hosts() / GROUP)
+                    .mapToObj(group -> "s-" + FleetConfig.primary(group)).toList());
                 Thread changes = new Thread(() -> change(directory, primaries, replicas, scene), "changes");
                 changes.start();
                 clients.run(scene.perSecond(), scene.seconds(), 800);
@@ -79,13 +80,13 @@
         try {
             for (int second = 2; second < scene.seconds(); second += 2) {
                 Thread.sleep(2_000);
-                int member = (second * GROUP + 1) % scene.hosts();
+                int member = FleetConfig.successor(second % (scene.hosts() / GROUP));
                 directory.change(List.of(FleetConfig.entry(member, replicas.address(), System.currentTimeMillis())));
                 if (second == scene.seconds() / 2) {
                     List<String> changed = new ArrayList<>();
                     for (int group = 0; group < Math.min(11, scene.hosts() / GROUP); group++) {
-                        changed.add(FleetConfig.entry(group * GROUP, replicas.address(), 0));
-                        changed.add(FleetConfig.entry(group * GROUP + 1, primaries.address(), 0));
+                        changed.add(FleetConfig.entry(FleetConfig.primary(group), replicas.address(), 0));
+                        changed.add(FleetConfig.entry(FleetConfig.successor(group), primaries.address(), 0));
                     }
                     directory.change(changed);
                 }
