Never take a copy of a probe's answer for the answer to a request

A connection remembers what its last probe was answered with; the same bytes in answer to a request end the connection, as an attempt that may have run. aProbesAnswerNeverPassesForARequests fails without the check (OK instead of RESET).

--- a/router/src/main/java/ledgewall/net/Exchange.java
+++ b/router/src/main/java/ledgewall/net/Exchange.java
@@ -13,6 +13,11 @@
     /** The row has come whole; the end is still to come. */
     void served(Reply reply);
 
+    /** Whether it asks the host about itself, on no client's behalf. */
+    default boolean isProbe() {
+        return false;
+    }
+
     /** It is over; {@code reply} holds what has come of an answer. */
     void ended(AttemptOutcome ending, Reply reply, long at);
 }
--- a/router/src/main/java/ledgewall/net/HostConnection.java
+++ b/router/src/main/java/ledgewall/net/HostConnection.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
 import ledgewall.pg.Frame;
@@ -35,6 +36,8 @@
     private Reply reply = new Reply();
     private boolean written;
     private boolean servedTold;
+    /** What the last probe on this connection was answered with, or null. */
+    private byte[] probeAnswer;
     private long idleSince;
 
     HostConnection(Wiring wiring, Consumer<HostConnection> whenIdle, Consumer<HostConnection> whenClosed) {
@@ -150,6 +153,11 @@
 
     private void answer(Frame frame, long at) throws ProtocolException {
         reply.accept(frame);
+        if (reply.served() && !servedTold && isCopyOfProbeAnswer()) {
+            reply = new Reply();
+            garbled(at);
+            return;
+        }
         if (reply.served() && !servedTold) {
             servedTold = true;
             exchange.served(reply);
@@ -157,6 +165,7 @@
         if (reply.ready()) {
             Exchange over = exchange;
             exchange = null;
+            probeAnswer = over.isProbe() && reply.served() ? reply.answer() : probeAnswer;
             stage = Stage.IDLE;
             idleSince = wiring.loop().now();
             whenIdle.accept(this);
@@ -164,6 +173,11 @@
         }
     }
 
+    /** Whether a request was answered with what the host said to the probe before: a second copy that came late. */
+    private boolean isCopyOfProbeAnswer() {
+        return probeAnswer != null && !exchange.isProbe() && Arrays.equals(probeAnswer, reply.answer());
+    }
+
     private AttemptOutcome answered() {
         return reply.served() ? AttemptOutcome.SERVED : AttemptOutcome.ofSqlState(reply.sqlState());
     }
--- a/router/src/main/java/ledgewall/net/Probe.java
+++ b/router/src/main/java/ledgewall/net/Probe.java
@@ -49,6 +49,11 @@
         }
     }
 
+    @Override
+    public boolean isProbe() {
+        return true;
+    }
+
     @Override
     public byte[] query() {
         return reports ? ASK_REPORT : ASK_HEALTH;
--- a/router/src/test/java/ledgewall/net/ProbesTest.java
+++ b/router/src/test/java/ledgewall/net/ProbesTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import ledgewall.RoutingPolicy;
 import ledgewall.RoutingPolicy.ProbeResult;
 import ledgewall.RoutingPolicy.Result;
@@ -103,4 +104,19 @@
         sends.next(RoutingPolicy.Outcome.class);
         assertEquals(3, host.accepted());
     }
+
+    /** A second copy of a probe's answer, as a network may make, that comes once the connection carries a request. */
+    @Test
+    void aProbesAnswerNeverPassesForARequests() throws IOException, InterruptedException {
+        StandInServer host = StandInServer.host((connection, sql) ->
+            connection.write(report("x0=1767225600.123,x1=1"), Wire.ready()));
+        ScriptedPolicy sends = ScriptedPolicy.sendTo("m", 0);
+        rig.host("m", host).start(sends);
+        sends.command(new RoutingPolicy.Probe("m"));
+        sends.next(ProbeResult.class);
+        TimeUnit.MILLISECONDS.sleep(20); // a connection rests for 10 ms before it carries a request
+        rig.client().send(RouterHarness.look("1"));
+        assertEquals(Result.RESET, sends.next(RoutingPolicy.Outcome.class).result());
+        assertEquals(1, host.accepted());
+    }
 }
