Let a read that may be repeated follow a probe on its connection at once

The rest guards against late copies and noise behind an answer. A copy of a probe's answer is known now and ends the connection, and noise costs a read that may be repeated a retry; other requests wait for the rest as before.

--- a/router/src/main/java/ledgewall/net/Attempt.java
+++ b/router/src/main/java/ledgewall/net/Attempt.java
@@ -16,17 +16,19 @@
     private final String member;
     private final long sentAt;
     private final long timeout;
+    private final boolean repeatable;
     private final Listener listener;
     private HostConnection connection;
     private EventLoop.Timer timer;
     private boolean ended;
 
-    Attempt(ClientRequest request, String member, long sentAt, long timeout, Listener listener) {
+    Attempt(ClientRequest request, String member, long sentAt, long timeout, boolean repeatable, Listener listener) {
         this.request = request;
         this.number = request.attempts().size();
         this.member = member;
         this.sentAt = sentAt;
         this.timeout = timeout;
+        this.repeatable = repeatable;
         this.listener = listener;
     }
 
@@ -50,6 +52,11 @@
         return ended;
     }
 
+    /** Whether its request may run more than once. */
+    boolean isRepeatable() {
+        return repeatable;
+    }
+
     /** Gives the attempt its connection and the timer that ends it. */
     void carriedBy(HostConnection carrier, EventLoop.Timer givesUp) {
         connection = carrier;
--- a/router/src/main/java/ledgewall/net/HostConnection.java
+++ b/router/src/main/java/ledgewall/net/HostConnection.java
@@ -39,6 +39,7 @@
     /** What the last probe on this connection was answered with, or null. */
     private byte[] probeAnswer;
     private long idleSince;
+    private boolean idleAfterProbe;
 
     HostConnection(Wiring wiring, Consumer<HostConnection> whenIdle, Consumer<HostConnection> whenClosed) {
         this.wiring = wiring;
@@ -165,6 +166,7 @@
         if (reply.ready()) {
             Exchange over = exchange;
             exchange = null;
+            idleAfterProbe = over.isProbe();
             probeAnswer = over.isProbe() && reply.served() ? reply.answer() : probeAnswer;
             stage = Stage.IDLE;
             idleSince = wiring.loop().now();
@@ -258,4 +260,9 @@
     long idleSince() {
         return idleSince;
     }
+
+    /** Whether what it carried last was a probe, of whose answer a copy is known. */
+    boolean isIdleAfterProbe() {
+        return idleAfterProbe;
+    }
 }
--- a/router/src/main/java/ledgewall/net/HostPool.java
+++ b/router/src/main/java/ledgewall/net/HostPool.java
@@ -17,8 +17,6 @@
      * noise, is seen meanwhile and ends the connection, instead of passing for the answer to the next request.
      */
     private static final long REST = Clock.millis(10);
-    /** Probes follow at once on one another, as pings do; a report taken for the next one's tells no client anything. */
-    private static final long NO_REST = 0;
     private static final int USUAL_CONNECTIONS = 2;
 
     private final Wiring wiring;
@@ -43,9 +41,9 @@
         }
     }
 
-    /** Carries out a request on the newest rested connection or on a new one, which is returned. */
+    /** Carries out a request on the newest connection that may carry it or on a new one, which is returned. */
     HostConnection run(Attempt attempt) {
-        return run(attempt, REST);
+        return run(attempt, idleFor(attempt));
     }
 
     /** Carries out a probe on the newest idle connection or on a new one, which is returned. */
@@ -53,12 +51,11 @@
         if (!hasIdleForProbe()) {
             wiring.counters().add(Counters.Count.PROBE_CONNECTIONS);
         }
-        return run(probe, NO_REST);
+        return run(probe, idle.peekFirst());
     }
 
-    private HostConnection run(Exchange exchange, long rest) {
-        wiring.idle().closeOld(wiring.loop().now());
-        HostConnection connection = idleFor(rest);
+    private HostConnection run(Exchange exchange, HostConnection usable) {
+        HostConnection connection = usable;
         if (connection != null) {
             idle.remove(connection);
             wiring.idle().remove(connection);
@@ -71,18 +68,22 @@
         return connection;
     }
 
-    boolean hasIdleForRequest() {
-        return idleFor(REST) != null;
+    boolean hasIdleFor(Attempt attempt) {
+        wiring.idle().closeOld(wiring.loop().now());
+        return idleFor(attempt) != null;
     }
 
+    /** Probes follow at once on one another, as pings do; a report taken for the next one's tells no client anything. */
     boolean hasIdleForProbe() {
-        return idleFor(NO_REST) != null;
+        wiring.idle().closeOld(wiring.loop().now());
+        return !idle.isEmpty();
     }
 
-    private HostConnection idleFor(long rest) {
-        long since = wiring.loop().now() - rest;
+    /** A request that may be repeated follows a probe at once: a copy of the probe's answer is known, and noise costs a retry. */
+    private HostConnection idleFor(Attempt attempt) {
+        long rested = wiring.loop().now() - REST;
         for (HostConnection connection : idle) {
-            if (connection.idleSince() <= since) {
+            if (connection.idleSince() <= rested || attempt.isRepeatable() && connection.isIdleAfterProbe()) {
                 return connection;
             }
         }
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -289,7 +289,9 @@
         long now = wiring.loop().now();
         long left = request.deadline() - now;
         long timeout = send.timeout() == 0 ? left : Math.min(send.timeout(), left);
-        Attempt attempt = new Attempt(request, send.member(), now, timeout, this);
+        int index = classes.getOrDefault(request.statement().className(), 0);
+        boolean repeatable = settings.classes().get(index).effect() == RoutingPolicy.Effect.IDEMPOTENT;
+        Attempt attempt = new Attempt(request, send.member(), now, timeout, repeatable, this);
         HostPool host = members.host(send.member());
         boolean second = request.hasOpenAttempt() && !settings.limits().parallelTries();
         request.attempts().add(attempt);
@@ -297,7 +299,7 @@
         if (request.isOver() || timeout <= 0 || second || host == null
                 || request.attempts().size() > settings.limits().maxAttempts()) {
             attempt.ended(AttemptOutcome.NEVER_SENT, new Reply(), now);
-        } else if (!host.hasIdleForRequest() && !wiring.descriptors().roomForTraffic() && !makeRoom()) {
+        } else if (!host.hasIdleFor(attempt) && !wiring.descriptors().roomForTraffic() && !makeRoom()) {
             attempt.ended(AttemptOutcome.NO_DESCRIPTOR, new Reply(), now);
         } else {
             EventLoop.Timer timer = wiring.loop().in(timeout,
