--- a/router/src/test/java/ledgewall/fleet/MemberDirectory.java
+++ b/router/src/test/java/ledgewall/fleet/MemberDirectory.java
@@ -47,7 +47,7 @@
     }
 
     private void answer(StandInServer.Connection connection) throws IOException {
-        String head = head(connection);
+        String head = connection.requestHead();
         int since = head.indexOf("since=");
         if (since < 0) {
             byte[] body = whole().getBytes(StandardCharsets.UTF_8);
@@ -79,18 +79,6 @@
         return changes.size() > known ? changes.get(known) : "";
     }
 
-    private static String head(StandInServer.Connection connection) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int b = connection.in().read();
-            if (b < 0) {
-                throw new IOException("the request ended early");
-            }
-            head.append((char) b);
-        }
-        return head.toString();
-    }
-
     @Override
     public void close() throws IOException {
         server.close();
--- a/router/src/test/java/ledgewall/net/FollowTest.java
+++ b/router/src/test/java/ledgewall/net/FollowTest.java
@@ -52,15 +52,7 @@
 
     /** Reads a request's head; its target. */
     private static String request(StandInServer.Connection connection) throws IOException {
-        StringBuilder head = new StringBuilder();
-        while (head.indexOf("\r\n\r\n") < 0) {
-            int b = connection.in().read();
-            if (b < 0) {
-                throw new IOException("the request ended early");
-            }
-            head.append((char) b);
-        }
-        return head.toString().split(" ")[1];
+        return connection.requestHead().split(" ")[1];
     }
 
     private static void say(StandInServer.Connection connection, String text) throws IOException {
--- a/router/src/test/java/ledgewall/standin/StandInServer.java
+++ b/router/src/test/java/ledgewall/standin/StandInServer.java
@@ -57,6 +57,19 @@
             return message == null ? null : message.text().substring(0, message.body().length - 1);
         }
 
+        /** Reads the head of an HTTP request, to its empty line. */
+        public String requestHead() throws IOException {
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int b = in.read();
+                if (b < 0) {
+                    throw new IOException("the request ended early");
+                }
+                head.append((char) b);
+            }
+            return head.toString();
+        }
+
         /** Reads on until the other side ends. */
         public void awaitEnd() throws IOException {
             while (in.read() >= 0) {
