--- a/review/1/Crowd.java
+++ b/review/1/Crowd.java
@@ -69,6 +69,7 @@
                 System.out.println(router.log().lines().reduce((a, b) -> b).orElse(""));
             }
         }
+        RouterProcess.deleteFolder(temporary);
         System.exit(status);
     }
 
--- a/review/2/ForeignAnswer.java
+++ b/review/2/ForeignAnswer.java
@@ -58,6 +58,7 @@
                 System.out.println(routers.get(i).log().lines().reduce((a, b) -> b).orElse(""));
             }
         }
+        RouterProcess.deleteFolder(temporary);
         System.exit(status);
     }
 
--- a/review/3/Pipeline.java
+++ b/review/3/Pipeline.java
@@ -52,6 +52,7 @@
                 System.out.println(router.log().lines().reduce((a, b) -> b).orElse(""));
             }
         }
+        RouterProcess.deleteFolder(temporary);
         System.exit(status);
     }
 
--- a/review/standin/RouterProcess.java
+++ b/review/standin/RouterProcess.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** A router, started by the deploy file's command 'run' from the root of the repository. */
 final class RouterProcess implements AutoCloseable {
@@ -56,6 +57,16 @@
         return new String(Files.readAllBytes(log), StandardCharsets.UTF_8);
     }
 
+    /** Deletes the temporary folder of a run. */
+    static void deleteFolder(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(folder);
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
