--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -404,13 +404,12 @@
         }
     }
 
-    /** Closes the connection to free its descriptor: at once, unless commands are unanswered, which are answered first. */
-    void evict() {
+    /** Closes the connection to free its descriptor, unless a command is unanswered or a read is queued; true if it is closed. */
+    boolean closeIfQuiescent() {
         if (isQuiescent()) {
             close();
-        } else {
-            closeWhenAnswered();
         }
+        return closed;
     }
 
     /** Closes the connection after the next request that is answered on it. */
--- a/router/src/main/java/ledgewall/net/DrainBeforeResetProcessor.java
+++ b/router/src/main/java/ledgewall/net/DrainBeforeResetProcessor.java
@@ -25,10 +25,13 @@
     private static final long POLL_INTERVAL_NANOS = TimeUnit.MICROSECONDS.toNanos(100);
 
     private final Queue<NioSession> readInterestChanges = new ConcurrentLinkedQueue<>();
+    private final Runnable onSelectPass;
     private volatile long selectPasses;
 
-    DrainBeforeResetProcessor(Executor executor) {
+    /** Creates a processor that runs {@code onSelectPass} on its thread before each selection, at least once a second. */
+    DrainBeforeResetProcessor(Executor executor, Runnable onSelectPass) {
         super(executor);
+        this.onSelectPass = onSelectPass;
     }
 
     @Override
@@ -52,6 +55,7 @@
     @Override
     protected int select(long timeout) throws Exception {
         selectPasses = selectPasses + 1; // not atomic: only this thread writes it
+        onSelectPass.run();
         for (NioSession session = readInterestChanges.poll(); session != null; session = readInterestChanges.poll()) {
             setInterestedInRead(session, !session.isReadSuspended());
         }
--- a/router/src/main/java/ledgewall/net/EventLoop.java
+++ b/router/src/main/java/ledgewall/net/EventLoop.java
@@ -27,9 +27,12 @@
 
     private final Clock clock;
     private final Counters counters;
+    private final StallDetector stallDetector;
     private final BlockingQueue<Runnable> taskQueue = new LinkedBlockingQueue<>();
     private final PriorityQueue<Timer> timers = new PriorityQueue<>();
     private final List<Runnable> readyTasks = new ArrayList<>();
+    /** The timers of the current turn. */
+    private final List<Timer> dueTimers = new ArrayList<>();
     private List<Event> pendingEvents = new ArrayList<>();
     private RoutingPolicy policy;
     private Consumer<Action> actionHandler;
@@ -47,6 +50,7 @@
         private final long dueAt;
         private final long number;
         private Runnable task;
+        private boolean queued = true;
 
         private Timer(long dueAt, long number, Runnable task) {
             this.dueAt = dueAt;
@@ -57,8 +61,10 @@
         void cancel() {
             if (task != null) {
                 task = null;
-                cancelledInQueue++;
-                purgeCancelled();
+                if (queued) {
+                    cancelledInQueue++;
+                    purgeCancelled();
+                }
             }
         }
 
@@ -71,6 +77,7 @@
     EventLoop(Clock clock, Counters counters) {
         this.clock = clock;
         this.counters = counters;
+        this.stallDetector = new StallDetector(clock, counters);
         this.now = clock.now();
     }
 
@@ -90,6 +97,11 @@
         taskQueue.add(task);
     }
 
+    /** Reports the current turn if it does not end; to be called regularly by one other thread. */
+    void checkForStall() {
+        stallDetector.check();
+    }
+
     /** The longest turn so far; to be called on the loop's thread only. */
     long longestTurnNanos() {
         return longestTurnNanos;
@@ -142,12 +154,14 @@
             taskQueue.drainTo(readyTasks);
         }
         now = clock.now();
+        stallDetector.turnStarted(now);
         readyTasks.forEach(this::runGuarded);
         readyTasks.clear();
         runDueTimers();
         if (!pendingEvents.isEmpty()) {
             runPolicy();
         }
+        stallDetector.turnEnded();
         recordTurn(clock.now() - now);
     }
 
@@ -199,17 +213,25 @@
         return !timers.isEmpty() && timers.peek().dueAt < clock.now() - LATE_TURN_NANOS;
     }
 
+    /** Runs the timers that are due at the start of the turn; those that they schedule run in a later turn, even if due at once. */
     private void runDueTimers() {
         while (!timers.isEmpty() && timers.peek().dueAt <= now) {
             Timer timer = timers.poll();
-            Runnable task = timer.task;
-            if (task == null) {
+            timer.queued = false;
+            if (timer.task == null) {
                 cancelledInQueue--;
             } else {
+                dueTimers.add(timer);
+            }
+        }
+        for (Timer timer : dueTimers) {
+            Runnable task = timer.task;
+            if (task != null) { // not cancelled by a timer before it
                 timer.task = null;
                 runGuarded(task);
             }
         }
+        dueTimers.clear();
     }
 
     private void runPolicy() {
--- a/router/src/main/java/ledgewall/net/IdleConnections.java
+++ b/router/src/main/java/ledgewall/net/IdleConnections.java
@@ -1,6 +1,5 @@
 package ledgewall.net;
 
-import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
 
@@ -43,12 +42,11 @@
 
     /** Closes the connection that has been idle the longest; returns false if there is none. */
     boolean closeOldest() {
-        Iterator<HostConnection> first = connections.iterator();
-        if (!first.hasNext()) {
+        if (connections.isEmpty()) {
             return false;
         }
         counters.add(Counters.Count.IDLE_HOSTS_CLOSED);
-        first.next().close();
+        close(connections.iterator().next());
         return true;
     }
 
@@ -60,7 +58,13 @@
                 return;
             }
             counters.add(Counters.Count.RETIRED);
-            first.close();
+            close(first);
         }
     }
+
+    /** Removes the connection before it closes, so that each call leaves one fewer, whatever state the connection is in. */
+    private void close(HostConnection connection) {
+        connections.remove(connection);
+        connection.close();
+    }
 }
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -139,24 +139,34 @@
         }
     }
 
-    /** Evicts the oldest client without a command, else the longest idle one; false if neither may be evicted yet. */
+    /**
+     * Closes the oldest client without a command, else the longest idle one. Returns false if none may be closed in this turn:
+     * a caller that repeats the call until it returns false closes a client each time, and so comes to an end.
+     */
     private boolean evictClient() {
         long now = context.loop().now();
         return evictFirst(silentClients, c -> c.openedAt() <= now - MIN_SILENT_NANOS, Counters.Count.SILENT_CLIENTS)
             || evictFirst(idleClients, c -> c.idleSince() <= now - MIN_IDLE_NANOS, Counters.Count.IDLE_CLIENTS_CLOSED);
     }
 
-    private boolean evictFirst(Collection<ClientConnection> clientsByAge, Predicate<ClientConnection> evictable,
+    /**
+     * Closes the first client that is old enough. Clients with a read queued for the event loop are passed over: only a later
+     * turn processes that read, which may hold a request.
+     */
+    private boolean evictFirst(Collection<ClientConnection> clientsByAge, Predicate<ClientConnection> isOldEnough,
                                Counters.Count count) {
-        Iterator<ClientConnection> first = clientsByAge.iterator();
-        ClientConnection oldest = first.hasNext() ? first.next() : null;
-        if (oldest == null || !evictable.test(oldest)) {
-            return false;
+        for (ClientConnection client : clientsByAge) {
+            if (!isOldEnough.test(client)) {
+                return false; // those behind it are younger still
+            }
+            if (client.closeIfQuiescent()) {
+                context.counters().add(count);
+                LOG.debug("event=client_closed why={} clients={} held={}", count, clients.size(), context.descriptors().held());
+                return true;
+            }
+            context.counters().add(Counters.Count.EVICTIONS_PUT_OFF);
         }
-        context.counters().add(count);
-        LOG.debug("event=client_closed why={} clients={} held={}", count, clients.size(), context.descriptors().held());
-        oldest.evict();
-        return true;
+        return false;
     }
 
     /** Fails stalled clients, evicts idle ones over the limit and expires reserved ids. */
--- a/router/src/main/java/ledgewall/net/Transport.java
+++ b/router/src/main/java/ledgewall/net/Transport.java
@@ -32,8 +32,8 @@
     private final EventLoop loop;
     private final ExecutorService ioExecutor = Executors.newSingleThreadExecutor(
         task -> new Thread(task, "ledgewall-io"));
-    private final DrainBeforeResetProcessor processor = new DrainBeforeResetProcessor(ioExecutor);
-    private final NioSocketConnector connector = new NioSocketConnector(processor);
+    private final DrainBeforeResetProcessor processor;
+    private final NioSocketConnector connector;
     /** Sockets that are open, including those that the event loop does not track yet or no longer tracks. */
     private final AtomicInteger openSockets = new AtomicInteger();
     private final BackpressureAcceptor acceptor;
@@ -43,6 +43,8 @@
 
     /** Accepts connections only while fewer than {@code maxOpenSockets} sockets are open. */
     Transport(Clock clock, EventLoop loop, Counters counters, int maxOpenSockets) {
+        this.processor = new DrainBeforeResetProcessor(ioExecutor, loop::checkForStall);
+        this.connector = new NioSocketConnector(processor);
         this.acceptor = new BackpressureAcceptor(processor, () -> openSockets.get() < maxOpenSockets,
             this::notifyAcceptBlocked, nanos -> {
                 counters.add(Counters.Count.ACCEPT_PAUSES);
--- a/router/src/test/java/ledgewall/net/RouterComponentsTest.java
+++ b/router/src/test/java/ledgewall/net/RouterComponentsTest.java
@@ -154,4 +154,54 @@
         kept.cancel();
         assertTrue(loop.queuedTimers() >= 1);
     }
+
+    /** Guards against a turn that never ends because a timer schedules its successor for a time that has come already. */
+    @Test
+    @Timeout(60)
+    void timerThatIsAlwaysDueDoesNotKeepOtherTasksFromRunning() throws InterruptedException {
+        EventLoop loop = new EventLoop(Clock.ofSystem(), new Counters());
+        loop.setPolicy((now, events) -> List.of(), action -> { });
+        CountDownLatch started = new CountDownLatch(1);
+        CountDownLatch done = new CountDownLatch(1);
+        loop.runAfter(0, new Runnable() {
+            @Override
+            public void run() {
+                started.countDown();
+                loop.runAfter(0, this);
+            }
+        });
+        Thread thread = new Thread(loop);
+        thread.setDaemon(true);
+        thread.start();
+        assertTrue(started.await(20, TimeUnit.SECONDS));
+        loop.post(done::countDown);
+        assertTrue(done.await(20, TimeUnit.SECONDS));
+        loop.stop();
+        loop.post(() -> { });
+        thread.join();
+    }
+
+    @Test
+    void timerCancelledByAnotherOfTheSameTurnDoesNotRun() throws InterruptedException {
+        EventLoop loop = new EventLoop(Clock.ofSystem(), new Counters());
+        loop.setPolicy((now, events) -> List.of(), action -> { });
+        List<String> ran = new ArrayList<>();
+        CountDownLatch done = new CountDownLatch(1);
+        List<EventLoop.Timer> second = new ArrayList<>();
+        loop.runAfter(0, () -> {
+            ran.add("first");
+            second.get(0).cancel();
+        });
+        second.add(loop.runAfter(0, () -> ran.add("second")));
+        loop.runAfter(0, done::countDown);
+        Thread thread = new Thread(loop);
+        thread.setDaemon(true);
+        thread.start();
+        assertTrue(done.await(20, TimeUnit.SECONDS));
+        loop.stop();
+        loop.post(() -> { });
+        thread.join();
+        assertEquals(List.of("first"), ran);
+        assertEquals(0, loop.queuedTimers());
+    }
 }
