--- a/router/src/main/java/ledgewall/net/EventLoop.java
+++ b/router/src/main/java/ledgewall/net/EventLoop.java
@@ -213,7 +213,7 @@
         return !timers.isEmpty() && timers.peek().dueAt < clock.now() - LATE_TURN_NANOS;
     }
 
-    /** Runs the timers that are due at the start of the turn; those that they schedule run in a later turn, even if due at once. */
+    /** Runs the timers that are due now. Those that they schedule run in a later turn, even if due at once. */
     private void runDueTimers() {
         while (!timers.isEmpty() && timers.peek().dueAt <= now) {
             Timer timer = timers.poll();
--- a/router/src/test/java/ledgewall/net/ClientEvictionTest.java
+++ b/router/src/test/java/ledgewall/net/ClientEvictionTest.java
@@ -90,7 +90,7 @@
         return clients.get(client).receive(ByteBuffer.wrap(bytes), clock.now(), sessions.get(client));
     }
 
-    /** Guards against a router that hangs for good: the oldest clients are to be evicted, but their bytes wait for a later turn. */
+    /** Guards against a router that hangs: the oldest clients are to be evicted, but their bytes wait for a later turn. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void sweepEndsWhileTheOldestClientsHaveQueuedReads(boolean idle) {
