Send each query behind an empty one, so that no stray answer passes for its own

Callers saw reads served with a probe's row, and reads and writes with the value of another client's request, where members send a second copy of good answers.

Cause: nothing in a reply names its query; the router took the next row for the answer and relied on 10 ms of rest before a connection was used again. A probe did not rest, a read behind a probe did not, and a copy later than 10 ms was taken anyway.

Change: every query and probe goes out behind an empty query in one write (QueryBarrier). Hosts reply in order: what comes before the reply to the empty query closes the connection as stray_answer, what follows is the query's own. No round trip more. The comparison with the last probe's answer is gone; a probe that meets a copy is repeated once on a new connection.

The stand-ins answer empty queries as PostgreSQL does; so ProbeTest's duplicate is now sent by the host itself once the read has been written, and has the same outcome to reach (RESET, on one connection).

--- a/router/src/main/java/ledgewall/net/AttemptOutcome.java
+++ b/router/src/main/java/ledgewall/net/AttemptOutcome.java
@@ -28,6 +28,11 @@
     BROKEN_AFTER_WRITTEN(Result.RESET),
     /** The host's answer violated the protocol: the router closed the connection, and the request may have been executed. */
     GARBLED(Result.RESET),
+    /**
+     * Data that belongs to an earlier query arrived in place of the answer: the router closed the connection, and the request
+     * may have been executed.
+     */
+    STRAY_ANSWER(Result.RESET),
     TIMED_OUT(Result.TIMED_OUT),
     GIVEN_UP(Result.CANCELLED),
     /** The request had ended, or its deadline or number of attempts was reached, before anything was sent. */
--- a/router/src/main/java/ledgewall/net/HostConnection.java
+++ b/router/src/main/java/ledgewall/net/HostConnection.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.function.Consumer;
 import ledgewall.pg.Frame;
@@ -11,6 +10,7 @@
 import ledgewall.pg.StartupReply;
 import ledgewall.pg.MessageWriter;
 import ledgewall.pg.ProtocolException;
+import ledgewall.pg.QueryBarrier;
 import ledgewall.pg.Reply;
 import org.apache.mina.core.future.ConnectFuture;
 import org.apache.mina.core.session.IoSession;
@@ -34,12 +34,11 @@
     private State state = State.CONNECTING;
     private Exchange exchange;
     private Reply reply = new Reply();
+    private final QueryBarrier barrier = new QueryBarrier();
     /** Whether the current query has been written to its last byte. */
     private boolean queryWritten;
     /** Whether the exchange has been told that the answer's row is complete. */
     private boolean servedNotified;
-    /** The answer to the last probe on this connection, or null. */
-    private byte[] lastProbeAnswer;
     /** In nanoseconds on the event loop's clock. */
     private long idleSince;
     private boolean idleAfterProbe;
@@ -91,7 +90,7 @@
         queryWritten = false;
         servedNotified = false;
         exchange.started(context.clock().now());
-        context.transport().write(session, exchange.query());
+        context.transport().write(session, MessageWriter.join(barrier.begin(), exchange.query()));
     }
 
     @Override
@@ -140,6 +139,7 @@
             case IDLE -> {
                 if (frame.type() != 'N' && frame.type() != 'S') {
                     // a message that ends the session, or an answer without a query
+                    context.counters().add(Counters.Count.STRAY_ANSWERS, frame.type() == 'E' ? 0 : 1);
                     fail(AttemptOutcome.BROKEN_BEFORE_WRITTEN, at);
                 }
             }
@@ -158,12 +158,11 @@
     }
 
     private void processReply(Frame frame, long at) throws ProtocolException {
-        reply.accept(frame);
-        if (reply.succeeded() && !servedNotified && isCopyOfProbeAnswer()) {
-            reply = new Reply();
-            failOnProtocolError(at);
+        if (!barrier.isPassed()) {
+            barrier.accept(frame);
             return;
         }
+        reply.accept(frame);
         if (reply.succeeded() && !servedNotified) {
             servedNotified = true;
             exchange.served(reply);
@@ -172,19 +171,17 @@
             Exchange finished = exchange;
             exchange = null;
             idleAfterProbe = finished.isProbe();
-            lastProbeAnswer = finished.isProbe() && reply.succeeded() ? reply.resultMessages() : lastProbeAnswer;
             state = State.IDLE;
             idleSince = context.loop().now();
-            onIdle.accept(this);
+            if (barrier.resembles(reply)) {
+                close();
+            } else {
+                onIdle.accept(this);
+            }
             finished.ended(outcomeOfReply(), reply, at);
         }
     }
 
-    /** Whether the answer to a request equals the answer to the previous probe: it is a late duplicate of that. */
-    private boolean isCopyOfProbeAnswer() {
-        return lastProbeAnswer != null && !exchange.isProbe() && Arrays.equals(lastProbeAnswer, reply.resultMessages());
-    }
-
     private AttemptOutcome outcomeOfReply() {
         return reply.succeeded() ? AttemptOutcome.SERVED : AttemptOutcome.ofSqlState(reply.sqlState());
     }
@@ -194,7 +191,12 @@
             return;
         }
         context.counters().add(Counters.Count.BAD_HOSTS);
-        fail(state == State.BUSY ? AttemptOutcome.GARBLED : AttemptOutcome.BROKEN_BEFORE_WRITTEN, at);
+        if (state == State.BUSY && !barrier.isPassed()) {
+            context.counters().add(Counters.Count.STRAY_ANSWERS);
+            fail(AttemptOutcome.STRAY_ANSWER, at);
+        } else {
+            fail(state == State.BUSY ? AttemptOutcome.GARBLED : AttemptOutcome.BROKEN_BEFORE_WRITTEN, at);
+        }
     }
 
     @Override
@@ -267,7 +269,7 @@
         return idleSince;
     }
 
-    /** Whether the last exchange was a probe, so that a duplicate of its answer would be recognised. */
+    /** Whether the last exchange was a probe. */
     boolean isIdleAfterProbe() {
         return idleAfterProbe;
     }
--- a/router/src/main/java/ledgewall/net/HostPool.java
+++ b/router/src/main/java/ledgewall/net/HostPool.java
@@ -13,8 +13,8 @@
  */
 final class HostPool {
     /**
-     * How long a connection must have been idle before it carries a request. Surplus data after the last answer, such as a
-     * duplicate, arrives meanwhile and closes the connection instead of being mistaken for the next request's answer.
+     * How long a connection should have been idle before it carries another query. Surplus data after the last answer, such as a
+     * duplicate, arrives meanwhile and closes the connection; later, it would also cost the query that is under way.
      */
     private static final long SETTLE_NANOS = Clock.millisToNanos(10);
     private static final int INITIAL_CAPACITY = 2;
@@ -45,15 +45,22 @@
 
     /** Runs an attempt on the most recently used connection that may carry it, or on a new one; returns the connection. */
     HostConnection execute(Attempt attempt) {
-        return execute(attempt, findIdle(attempt));
+        return execute(attempt, findIdle(attempt.isIdempotent()));
     }
 
-    /** Runs a probe on the most recently used idle connection, or on a new one; returns the connection. */
+    /** Runs a probe on a settled connection, else on the most recently used idle one or on a new one; returns the connection. */
     HostConnection execute(Probe probe) {
         if (!hasIdleForProbe()) {
             context.counters().add(Counters.Count.PROBE_CONNECTIONS);
         }
-        return execute(probe, idle.peekFirst());
+        HostConnection settled = findIdle(false);
+        return execute(probe, settled != null ? settled : idle.peekFirst());
+    }
+
+    /** Runs a probe on a connection of its own, where no earlier answer can be; returns the connection. */
+    HostConnection executeOnNewConnection(Probe probe) {
+        context.counters().add(Counters.Count.PROBE_CONNECTIONS);
+        return execute(probe, null);
     }
 
     private HostConnection execute(Exchange exchange, HostConnection reusable) {
@@ -72,23 +79,20 @@
 
     boolean hasIdleFor(Attempt attempt) {
         context.idleConnections().closeExpired(context.loop().now());
-        return findIdle(attempt) != null;
+        return findIdle(attempt.isIdempotent()) != null;
     }
 
-    /** Probes need no settling time after one another: a report mistaken for the next probe's reaches no client. */
+    /** Probes may use a connection that has not settled: one that meets surplus data is repeated on another connection. */
     boolean hasIdleForProbe() {
         context.idleConnections().closeExpired(context.loop().now());
         return !idle.isEmpty();
     }
 
-    /**
-     * A repeatable request may follow a probe without settling time: a duplicate of the probe's answer is recognised, and
-     * any other surplus data costs a retry.
-     */
-    private HostConnection findIdle(Attempt attempt) {
+    /** A repeatable request may follow a probe without settling time: surplus data costs it a retry at most. */
+    private HostConnection findIdle(boolean repeatable) {
         long settledBefore = context.loop().now() - SETTLE_NANOS;
         for (HostConnection connection : idle) {
-            if (connection.idleSince() <= settledBefore || attempt.isIdempotent() && connection.isIdleAfterProbe()) {
+            if (connection.idleSince() <= settledBefore || repeatable && connection.isIdleAfterProbe()) {
                 return connection;
             }
         }
--- a/router/src/main/java/ledgewall/net/Probe.java
+++ b/router/src/main/java/ledgewall/net/Probe.java
@@ -18,10 +18,12 @@
     private final RouterContext context;
     private final String member;
     private final boolean requestsReport;
+    private HostPool pool;
     private HostConnection connection;
     private EventLoop.Timer timeoutTimer;
     /** In nanoseconds on the router's clock. */
     private long startedAt;
+    private boolean repeated;
     private boolean ended;
 
     Probe(RouterContext context, String member, boolean requestsReport) {
@@ -31,16 +33,22 @@
         this.startedAt = context.loop().now();
     }
 
-    void start(HostPool pool) {
+    void start(HostPool hostPool) {
+        pool = hostPool;
+        run();
+        if (!ended && context.connectTimeoutNanos() > 0) {
+            timeoutTimer = context.loop().runAfter(context.connectTimeoutNanos(), this::onTimeout);
+        }
+    }
+
+    private void run() {
         context.counters().add(Counters.Count.PROBES);
-        if (!pool.hasIdleForProbe() && !context.descriptors().hasRoomForTraffic() && !context.idleConnections().closeOldest()) {
+        boolean reuses = !repeated && pool.hasIdleForProbe();
+        if (!reuses && !context.descriptors().hasRoomForTraffic() && !context.idleConnections().closeOldest()) {
             ended(AttemptOutcome.NO_DESCRIPTOR, new Reply(), context.loop().now());
             return;
         }
-        connection = pool.execute(this);
-        if (!ended && context.connectTimeoutNanos() > 0) {
-            timeoutTimer = context.loop().runAfter(context.connectTimeoutNanos(), this::onTimeout);
-        }
+        connection = repeated ? pool.executeOnNewConnection(this) : pool.execute(this);
     }
 
     private void onTimeout() {
@@ -75,6 +83,11 @@
         if (ended) {
             return;
         }
+        if (exchangeOutcome == AttemptOutcome.STRAY_ANSWER && !repeated) {
+            repeated = true; // an earlier answer's surplus data says nothing about the member
+            run();
+            return;
+        }
         ended = true;
         if (timeoutTimer != null) {
             timeoutTimer.cancel();
--- a/router/src/main/java/ledgewall/pg/HostHeaderValidator.java
+++ b/router/src/main/java/ledgewall/pg/HostHeaderValidator.java
@@ -41,6 +41,7 @@
                 requireInOrder(state == State.STARTUP);
                 requireAtMost(bodyLength, MAX_PARAMETER_BYTES);
             }
+            case 'I' -> advance(State.ROW_DESCRIPTION, State.READY_FOR_QUERY, bodyLength, 0);
             case 'T' -> advance(State.ROW_DESCRIPTION, State.DATA_ROW, bodyLength, MAX_PARAMETER_BYTES);
             case 'D' -> advance(State.DATA_ROW, State.COMMAND_COMPLETE, bodyLength,
                 VALUE_HEADER_BYTES + Reply.MAX_VALUE_BYTES);
--- a/router/src/test/java/ledgewall/net/ProbeTest.java
+++ b/router/src/test/java/ledgewall/net/ProbeTest.java
@@ -108,8 +108,14 @@
     /** A read may reuse a probe's connection at once, and there may receive a duplicate of the probe's answer. */
     @Test
     void duplicateProbeAnswerIsNotTakenForRequestAnswer() throws IOException, InterruptedException {
-        StubServer host = StubServer.host((connection, sql) ->
-            connection.write(reportRow("x0=1767225600.123,x1=1"), Wire.ready()));
+        StubServer host = new StubServer(connection -> {
+            connection.acceptStartup();
+            connection.readQuery();
+            connection.write(reportRow("x0=1767225600.123,x1=1"), Wire.ready());
+            connection.readAnyQuery(); // the duplicate is sent once the read has been written
+            connection.write(reportRow("x0=1767225600.123,x1=1"), Wire.ready());
+            connection.awaitClose();
+        });
         ScriptedPolicy sendingPolicy = ScriptedPolicy.sendTo("m", 0);
         harness.host("m", host).start(sendingPolicy);
         sendingPolicy.submit(new RoutingPolicy.Probe("m"));
--- a/router/src/test/java/ledgewall/net/RouterComponentsTest.java
+++ b/router/src/test/java/ledgewall/net/RouterComponentsTest.java
@@ -42,7 +42,7 @@
     void outcomesMapToNeverRanResultsExactlyIfRequestCannotHaveRun() {
         List<Result> neverRan = List.of(Result.NOT_CONNECTED, Result.REJECTED, Result.MISDIRECTED, Result.NEVER_SENT);
         List<AttemptOutcome> mayHaveRun = List.of(AttemptOutcome.SERVED, AttemptOutcome.BAD_STATEMENT, AttemptOutcome.HOST_ERROR,
-            AttemptOutcome.BROKEN_AFTER_WRITTEN, AttemptOutcome.GARBLED,
+            AttemptOutcome.BROKEN_AFTER_WRITTEN, AttemptOutcome.GARBLED, AttemptOutcome.STRAY_ANSWER,
             AttemptOutcome.TIMED_OUT, AttemptOutcome.GIVEN_UP);
         for (AttemptOutcome outcome : AttemptOutcome.values()) {
             assertEquals(!mayHaveRun.contains(outcome), neverRan.contains(outcome.result()), outcome.name());
--- a/router/src/test/java/ledgewall/standin/StubHosts.java
+++ b/router/src/test/java/ledgewall/standin/StubHosts.java
@@ -16,6 +16,8 @@
 public final class StubHosts implements AutoCloseable {
     private static final int BACKLOG = 4_096;
     private static final int BUFFER_BYTES = 64 * 1024;
+    /** Type byte, length and the zero byte that ends the statement. */
+    private static final int EMPTY_QUERY_BYTES = 1 + Integer.BYTES + 1;
     private static final byte[] VALUE = "v".getBytes(StandardCharsets.UTF_8);
 
     private final Selector selector = Selector.open();
@@ -168,6 +170,9 @@
         if (message[0] != 'Q') {
             return new byte[0];
         }
+        if (message.length == EMPTY_QUERY_BYTES) {
+            return Wire.join(Wire.emptyQueryResponse(), Wire.ready());
+        }
         long now = System.currentTimeMillis();
         if (new String(message, StandardCharsets.UTF_8).contains("SHOW stats")) {
             probeCount.incrementAndGet();
--- a/router/src/test/java/ledgewall/standin/StubServer.java
+++ b/router/src/test/java/ledgewall/standin/StubServer.java
@@ -52,12 +52,22 @@
             write(Wire.startupReply());
         }
 
-        /** Reads the next query; null at the end of the stream. */
-        public String readQuery() throws IOException {
+        /** Reads the next query, which may be empty; null at the end of the stream. */
+        public String readAnyQuery() throws IOException {
             Message message = Message.read(in, true);
             return message == null ? null : message.text().substring(0, message.body().length - 1);
         }
 
+        /** Replies to empty queries as PostgreSQL does, and returns the next query with a statement; null at the end. */
+        public String readQuery() throws IOException {
+            String sql = readAnyQuery();
+            while (sql != null && sql.isEmpty()) {
+                write(Wire.emptyQueryResponse(), Wire.ready());
+                sql = readAnyQuery();
+            }
+            return sql;
+        }
+
         /** Reads the head of an HTTP request up to and including the empty line. */
         public String readRequestHead() throws IOException {
             StringBuilder head = new StringBuilder();
--- a/router/src/test/java/ledgewall/standin/Wire.java
+++ b/router/src/test/java/ledgewall/standin/Wire.java
@@ -77,6 +77,11 @@
         return message('S', text(name), text(value));
     }
 
+    /** An EmptyQueryResponse message. */
+    public static byte[] emptyQueryResponse() {
+        return message('I');
+    }
+
     /** A ReadyForQuery message. */
     public static byte[] ready() {
         return message('Z', new byte[] {'I'});
