Hold nothing against a client that the router itself has put off

Callers that sent 90 writes and half of one more at once, while their group had no primary, got an error for 64 after 2.3 s and nothing for the other 26, which had been read; the connection was reset.

Cause: with 64 commands in hand the router queues what it has read and suspends reading; the stall check still counted the incomplete message, whose rest only the router could read, and a failed connection dropped its queued commands.

Change: the time in which the router does not read does not count (IncompleteMessage); a connection that fails refuses its queued commands.

--- a/router/src/main/java/ledgewall/net/BufferedBytes.java
+++ b/router/src/main/java/ledgewall/net/BufferedBytes.java
@@ -5,7 +5,8 @@
 
 /**
  * The bytes that are buffered for clients: partial messages, statements of unanswered requests, unsent answers. If their
- * total exceeds a maximum, the connection with the most is closed, so that clients that read slowly can't exhaust the heap.
+ * total exceeds a maximum, the connection with the most has to free its part, so that neither slow clients nor requests that
+ * wait can exhaust the heap.
  */
 final class BufferedBytes {
     /** Maximum total; leaves enough of the heap that the `run` script sets for hosts' answers and everything else. */
@@ -20,7 +21,7 @@
         totalBytes += bytes - (previous == null ? 0 : previous);
         if (totalBytes > MAX_TOTAL_BYTES) {
             bytesByClient.entrySet().stream().max(Map.Entry.comparingByValue())
-                .ifPresent(largest -> largest.getKey().closeForBufferedBytes());
+                .ifPresent(largest -> largest.getKey().shedBufferedBytes());
         }
     }
 
--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -57,9 +57,12 @@
         /** Registers a new connection and returns whether it is admitted. */
         Admission admit(ClientConnection connection);
 
-        /** Refuses a request of a connection that was admitted as {@link Admission#REFUSED}. */
+        /** Refuses a request that is not going to be submitted. */
         void refuse(AnswerSlot slot);
 
+        /** Answers a submitted request at once if it is unanswered: as refused if nothing of it was sent, else as failed. */
+        void giveUp(ClientRequest request);
+
         /** Handles a request that was received at {@code receivedAt}; its answer goes to the slot. */
         ClientRequest submit(Statement statement, AnswerSlot slot, long receivedAt, ClientIdentity client);
 
@@ -84,6 +87,7 @@
     private final FrameReader frameReader = FrameReader.ofClient(MAX_MESSAGE_BYTES);
     private final Deque<AnswerSlot> answerSlots = new ArrayDeque<>();
     private final Deque<QueuedCommand> queuedCommands = new ArrayDeque<>();
+    private final IncompleteMessage incompleteMessage = new IncompleteMessage();
     private final AtomicInteger queuedReads = new AtomicInteger();
     private IoSession session;
     private ClientIdentity client = new ClientIdentity("", "", "");
@@ -91,10 +95,11 @@
     private boolean closed;
     private boolean skipsUntilSync;
     private boolean closing;
+    /** Whether the close has to wait for what the client sent while the router had suspended reading. */
+    private boolean readsPutOff;
     private boolean closesAfterNextAnswer;
     private boolean failed;
     private boolean processingQueue;
-    private int partialMessageBytes;
     private int pendingStatementBytes;
     private int unsentBytes;
     private boolean commandReceived;
@@ -102,7 +107,8 @@
     private int encryptionRequests;
     private long openedAt;
     private long idleSince;
-    private long partialMessageSince;
+    /** Reads that the event loop has processed. */
+    private long processedReads;
 
     /** A command that waits for earlier ones to be answered, and when it was received. */
     private record QueuedCommand(ClientMessage message, long receivedAt) {
@@ -154,6 +160,7 @@
         Runnable processing = parse(bytes, receivedAt);
         return () -> {
             queuedReads.decrementAndGet();
+            processedReads++;
             processing.run();
             if (!closed && closing && isQuiescent()) {
                 closeOnFlush(); // the close waited for this read, which held no complete command
@@ -188,9 +195,7 @@
         if (closed || failed) {
             return;
         }
-        partialMessageSince = partialBytes > 0 && (partialMessageBytes == 0 || !messages.isEmpty())
-            ? receivedAt : partialMessageSince;
-        partialMessageBytes = partialBytes;
+        incompleteMessage.update(partialBytes, !messages.isEmpty(), receivedAt);
         for (ClientMessage message : messages) {
             QueuedCommand command = new QueuedCommand(message, receivedAt);
             queuedCommands.add(command);
@@ -220,13 +225,47 @@
     /** Suspends or resumes reading, depending on capacity. */
     private void updateReading() {
         updateBufferedBytes();
-        boolean shouldRead = queuedCommands.isEmpty() && hasCapacity() && !closing && queuedReads.get() < MAX_QUEUED_READS;
-        if (!closed && shouldRead == session.isReadSuspended()) {
-            if (shouldRead) {
-                session.resumeRead();
-            } else {
-                session.suspendRead();
+        if (closed) {
+            return;
+        }
+        boolean shouldRead = queuedCommands.isEmpty() && hasCapacity() && (!closing || readsPutOff)
+            && queuedReads.get() < MAX_QUEUED_READS;
+        if (shouldRead || clientTakesNoAnswers()) {
+            incompleteMessage.resume(context.loop().now());
+        } else {
+            incompleteMessage.pause(context.loop().now());
+        }
+        if (shouldRead && session.isReadSuspended()) {
+            session.resumeRead();
+            if (closing) {
+                closeOnceAllIsRead();
+            }
+        } else if (!shouldRead && !session.isReadSuspended()) {
+            session.suspendRead();
+        }
+    }
+
+    /** Lets a close that waits for put-off reads go on once a whole pass of the I/O thread has found nothing more to read. */
+    private void closeOnceAllIsRead() {
+        long readsBefore = processedReads;
+        context.transport().afterPendingReads(() -> {
+            if (closed || session.isReadSuspended()) {
+                return; // called again when reading resumes
+            }
+            if (processedReads != readsBefore) {
+                closeOnceAllIsRead();
+                return;
             }
+            readsPutOff = false;
+            closeWhenAnswered();
+        });
+    }
+
+    /** Ends the connection once its commands are answered, and those that the client sent while the router did not read. */
+    private void beginClosing() {
+        if (!closing) {
+            closing = true;
+            readsPutOff = session.isReadSuspended() && !clientTakesNoAnswers();
         }
     }
 
@@ -322,7 +361,6 @@
         }
         context.counters().add(Counters.Count.BAD_CLIENTS);
         failed = true;
-        queuedCommands.clear();
         for (AnswerSlot slot : List.copyOf(answerSlots)) {
             if (slot.answer == null) {
                 requestHandler.requestAbandoned(slot.request);
@@ -330,13 +368,37 @@
                     MessageWriter.error(SqlState.CONNECTION_FAILURE, reason), MessageWriter.readyForQuery());
             }
         }
+        refuseQueuedCommands();
         closeWithError(reason);
     }
 
-    /** Fails a connection that has sent no command, or only part of a message, for too long. */
+    /** Answers the commands that have been received but not submitted: they have had no effect. */
+    private void refuseQueuedCommands() {
+        List<QueuedCommand> commands = List.copyOf(queuedCommands);
+        queuedCommands.clear();
+        for (QueuedCommand command : commands) {
+            pendingStatementBytes -= command.statementBytes();
+            if (command.message() instanceof ClientMessage.Query && !skipsUntilSync) {
+                AnswerSlot slot = new AnswerSlot();
+                answerSlots.add(slot);
+                slot.refused = true;
+                requestHandler.refuse(slot);
+            } else if (command.message() instanceof ClientMessage.EmptyQuery || command.message() instanceof ClientMessage.Sync) {
+                process(command.message(), command.receivedAt());
+            }
+        }
+    }
+
+    /**
+     * Fails a connection that has sent no command, or only part of a message, for too long. The time in which the router
+     * itself did not read does not count.
+     */
     void failIfStalled(long now) {
+        if (closed || incompleteMessage.isPaused() || queuedReads.get() > 0) {
+            return;
+        }
         if (!commandReceived && now >= openedAt + COMMAND_TIMEOUT_NANOS
-                || partialMessageBytes > 0 && now >= partialMessageSince + COMMAND_TIMEOUT_NANOS) {
+                || incompleteMessage.isOverdue(now, COMMAND_TIMEOUT_NANOS)) {
             context.counters().add(Counters.Count.SILENT_CLIENTS);
             failConnection("no whole request in time");
         }
@@ -359,15 +421,17 @@
             pendingStatementBytes -= slot.statementBytes;
             unsentBytes += slot.answer.length;
             context.transport().write(session, slot.answer);
-            closing |= closesAfterNextAnswer && (slot.request != null || slot.refused);
+            if (closesAfterNextAnswer && (slot.request != null || slot.refused)) {
+                beginClosing();
+            }
             if (slot.closesConnection) {
                 closeOnFlush();
             }
         }
         if (!closed && answerSlots.isEmpty() && queuedCommands.isEmpty()) {
-            if (closing && queuedReads.get() == 0) {
+            if (closing && !readsPutOff && queuedReads.get() == 0) {
                 closeOnFlush();
-            } else if (commandReceived) {
+            } else if (commandReceived && !closing) {
                 idleSince = context.loop().now();
                 requestHandler.connectionIdle(this);
             }
@@ -376,27 +440,32 @@
     }
 
     private boolean hasCapacity() {
-        return answerSlots.size() < MAX_PIPELINED_COMMANDS && unsentBytes < MAX_MESSAGE_BYTES;
+        return answerSlots.size() < MAX_PIPELINED_COMMANDS && !clientTakesNoAnswers();
+    }
+
+    /** Whether so many answers wait to be sent that the router processes nothing more of this client. */
+    private boolean clientTakesNoAnswers() {
+        return unsentBytes >= MAX_MESSAGE_BYTES;
     }
 
     /** Updates the count of the bytes that are buffered for this client. */
     private void updateBufferedBytes() {
         if (!closed) {
-            context.bufferedBytes().set(this, partialMessageBytes + pendingStatementBytes + unsentBytes);
+            context.bufferedBytes().set(this, incompleteMessage.bytes() + pendingStatementBytes + unsentBytes);
         }
     }
 
     /**
-     * Whether no command is unanswered and no read is queued for the event loop. Data in a queued read has been acknowledged
-     * by the kernel, so that requests in it have to be answered.
+     * Whether no command is unanswered, and no read is queued for the event loop or put off. Data in a queued read has been
+     * acknowledged by the kernel, so that requests in it have to be answered.
      */
     private boolean isQuiescent() {
-        return answerSlots.isEmpty() && queuedCommands.isEmpty() && queuedReads.get() == 0;
+        return answerSlots.isEmpty() && queuedCommands.isEmpty() && queuedReads.get() == 0 && !readsPutOff;
     }
 
     /** Closes the connection once its commands are answered; at once if there are none. */
     void closeWhenAnswered() {
-        closing = true;
+        beginClosing();
         if (!closed && isQuiescent()) {
             closeOnFlush();
         } else {
@@ -430,10 +499,24 @@
         }
     }
 
-    /** Closes a connection for which too many bytes are buffered. */
-    void closeForBufferedBytes() {
-        context.counters().add(Counters.Count.CUT_OFF);
-        close();
+    /**
+     * Frees the memory of a connection for which too many bytes are buffered: its requests, which wait because of the router or
+     * of hosts, are answered at once. It is closed only if it holds none, so that its client reads or writes too slowly.
+     */
+    void shedBufferedBytes() {
+        if (pendingStatementBytes == 0) {
+            context.counters().add(Counters.Count.CUT_OFF);
+            close();
+            return;
+        }
+        context.counters().add(Counters.Count.SHED_FOR_MEMORY);
+        refuseQueuedCommands();
+        for (AnswerSlot slot : List.copyOf(answerSlots)) {
+            if (slot.answer == null) {
+                requestHandler.giveUp(slot.request);
+            }
+        }
+        updateBufferedBytes();
     }
 
     @Override
--- a/router/src/main/java/ledgewall/net/DrainBeforeResetProcessor.java
+++ b/router/src/main/java/ledgewall/net/DrainBeforeResetProcessor.java
@@ -11,11 +11,12 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * An I/O processor that differs from MINA's in three ways. It delivers the data received before a reset: MINA reads a
+ * An I/O processor that differs from MINA's in four ways. It delivers the data received before a reset: MINA reads a
  * socket until nothing is left, and if a reset occurs there it discards what the same pass has read, so that a complete
  * answer would be treated as a broken one. It suspends and resumes reads on its own thread and leaves write interest
  * unchanged: MINA changes both from the caller's thread, in a race with its own, and loses a partial write, so that
- * answers to a client could stop for good. And a caller can wait until all data received so far has been read.
+ * answers to a client could stop for good. A caller can wait until all data received so far has been read, or have a task run
+ * then. And it runs a task before each selection.
  */
 final class DrainBeforeResetProcessor extends NioProcessor {
     /** The first pass may have selected its sockets before the call; the second covers all of them. */
@@ -26,8 +27,12 @@
 
     private final Queue<NioSession> readInterestChanges = new ConcurrentLinkedQueue<>();
     private final Runnable onSelectPass;
+    private final Queue<PassTask> passTasks = new ConcurrentLinkedQueue<>();
     private volatile long selectPasses;
 
+    /** A task to run on this processor's thread once it has begun this many passes. */
+    private record PassTask(long pass, Runnable task) { }
+
     /** Creates a processor that runs {@code onSelectPass} on its thread before each selection, at least once a second. */
     DrainBeforeResetProcessor(Executor executor, Runnable onSelectPass) {
         super(executor);
@@ -59,9 +64,25 @@
         for (NioSession session = readInterestChanges.poll(); session != null; session = readInterestChanges.poll()) {
             setInterestedInRead(session, !session.isReadSuspended());
         }
+        runPassTasks();
+        if (!passTasks.isEmpty()) {
+            wakeup(); // the remaining tasks wait for the next pass, not for data
+        }
         return super.select(timeout);
     }
 
+    private void runPassTasks() {
+        for (PassTask next = passTasks.peek(); next != null && next.pass() <= selectPasses; next = passTasks.peek()) {
+            passTasks.poll().task().run();
+        }
+    }
+
+    /** Runs a task on this processor's thread after a pass in which it has read from every connection with data. */
+    void afterPendingReads(Runnable task) {
+        passTasks.add(new PassTask(selectPasses + REQUIRED_PASSES, task));
+        wakeup();
+    }
+
     /** Waits until all data received before this call has been read and queued for the event loop. */
     void awaitPendingReads() {
         long targetPass = selectPasses + REQUIRED_PASSES;
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -55,6 +55,8 @@
     private final Map<String, Long> reservedUntil = new LinkedHashMap<>();
     private long lastRequestNumber;
     private boolean draining;
+    /** Whether the router is about to end: what it still receives is refused at once. */
+    private boolean stopping;
     private Classifier classifier;
     private final boolean acceptsUncommentedStatements;
 
@@ -200,6 +202,11 @@
     @Override
     public ClientRequest submit(Statement statement, ClientConnection.AnswerSlot slot, long receivedAt,
                                 ClientConnection.ClientIdentity client) {
+        if (stopping) {
+            ClientRequest request = new ClientRequest(++lastRequestNumber, statement, receivedAt, slot);
+            refuse(request);
+            return request;
+        }
         if (classifier == null || statement.hasRoutingComment() && !classifier.overridesComments()) {
             return submit(statement, slot, receivedAt, (Runnable) null);
         }
@@ -271,6 +278,23 @@
         return name.isEmpty() ? 0 : tenantIndexes.getOrDefault(name, settings.tenants().size());
     }
 
+    private void refuse(ClientRequest request) {
+        context.counters().add(Counters.Count.REQUESTS);
+        context.counters().add(Counters.Count.REFUSED);
+        request.answer(refusalMessage(0));
+    }
+
+    @Override
+    public void giveUp(ClientRequest request) {
+        boolean neverSent = request.attempts().isEmpty();
+        if (request.answer(neverSent ? refusalMessage(0) : failureMessage("too many requests wait"))) {
+            context.counters().add(neverSent ? Counters.Count.REFUSED : Counters.Count.FAILED);
+            logRequestEnd(request, "given_up");
+            context.loop().postEvent(new RoutingPolicy.Abandoned(request.number()));
+            removeIfComplete(request);
+        }
+    }
+
     /** Fails a request that the policy has left without an answer until after its deadline. */
     private void failOverdue(ClientRequest request) {
         if (request.answer(failureMessage("no answer in time"))) {
@@ -417,8 +441,9 @@
         new ArrayList<>(clients).forEach(ClientConnection::closeWhenAnswered);
     }
 
-    /** Fails every request that has no answer yet. */
+    /** Fails every request that has no answer yet, and refuses those that are received from now on. */
     void failUnanswered() {
+        stopping = true;
         for (ClientRequest request : List.copyOf(requests.values())) {
             if (request.answer(failureMessage("the router stops"))) {
                 context.counters().add(Counters.Count.FAILED);
--- a/router/src/main/java/ledgewall/net/Router.java
+++ b/router/src/main/java/ledgewall/net/Router.java
@@ -235,7 +235,7 @@
     /** Fails the requests that are unanswered shortly before the process may be killed, so that clients get an answer. */
     private void failUnanswered() {
         dispatcher.failUnanswered();
-        loop.runAfter(FLUSH_NANOS, this::shutDown);
+        loop.runAfter(LAST_ANSWERS_NANOS, this::shutDown); // earlier if all clients are gone
     }
 
     private void shutDownWhenDrained() {
@@ -246,6 +246,8 @@
         }
     }
 
+    /** Time allowed for refusing what clients have sent and the router has put off reading. */
+    private static final long LAST_ANSWERS_NANOS = Clock.millisToNanos(100);
     /** Time allowed for the kernel to accept the last answers, and the interval at which a drain checks for open clients. */
     private static final long FLUSH_NANOS = Clock.millisToNanos(10);
 
--- a/router/src/main/java/ledgewall/net/Transport.java
+++ b/router/src/main/java/ledgewall/net/Transport.java
@@ -118,6 +118,11 @@
         processor.awaitPendingReads();
     }
 
+    /** Runs a task on the event loop once what has been received so far has been read, up to a buffer for each connection. */
+    void afterPendingReads(Runnable task) {
+        processor.afterPendingReads(() -> loop.post(task));
+    }
+
     /** Closes all connections and ends all threads. */
     void close() {
         acceptor.dispose(false);
--- a/router/src/test/java/ledgewall/net/DrainTest.java
+++ b/router/src/test/java/ledgewall/net/DrainTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
+import java.util.Arrays;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import ledgewall.RoutingPolicy.Arrival;
@@ -98,4 +99,24 @@
         router.awaitClosed();
         assertTrue(client.endOfStream());
     }
+
+    /** Guards against requests that are lost because the router had put off taking them up when it was told to stop. */
+    @Test
+    void requestsPutOffByTheRouterAreAnsweredAtEndOfDrain() throws IOException, InterruptedException {
+        ScriptedPolicy policy = ScriptedPolicy.idle();
+        Router router = harness.start(policy);
+        Client client = harness.client();
+        byte[][] queries = new byte[400][];
+        Arrays.setAll(queries, i -> RouterHarness.lookQuery("" + i));
+        client.send(queries);
+        policy.next(Arrival.class);
+        router.drain();
+        for (int i = 0; i < queries.length; i++) {
+            assertEquals("E", client.readTypesUntilReady(), "query " + i);
+        }
+        assertTrue(client.endOfStream());
+        router.awaitClosed();
+        assertEquals(queries.length, router.counts().of(Counters.Count.REQUESTS));
+        assertEquals(0, router.counts().of(Counters.Count.LAPSED));
+    }
 }
