Await the reply to the empty query before the next query is sent

Cause: sent in one write with the query, the empty query depends on hosts that handle pipelined queries in order.

Change: the empty query follows each answer at once, and a connection carries a request only when its reply has come; the 10 ms of rest hide that. Reads that follow a probe, and probes, wait for it. Data in the same read as that reply is surplus too. A query that has not been sent is not harmed by a copy any more. No learning of the host's form of reply: an error passes unless it could be a copy of the error before.

Tests: StrayAnswerTest, QueryBarrierTest and ProbeTest follow; the cases that sent strays ahead of a barrier send them behind an answer now, and ask that each value is its own and each such connection ends. New: a read behind a probe isn't on the wire before the reply. 8 classes, all pass.

--- a/router/src/main/java/ledgewall/net/AttemptOutcome.java
+++ b/router/src/main/java/ledgewall/net/AttemptOutcome.java
@@ -29,8 +29,8 @@
     /** The host's answer violated the protocol: the router closed the connection, and the request may have been executed. */
     GARBLED(Result.RESET),
     /**
-     * Data that belongs to an earlier query arrived in place of the answer: the router closed the connection, and the request
-     * may have been executed.
+     * Surplus data of an earlier query arrived while the attempt waited for its connection, which the router closed. Reported
+     * like a broken connection, which says little about the member.
      */
     STRAY_ANSWER(Result.RESET),
     TIMED_OUT(Result.TIMED_OUT),
--- a/router/src/main/java/ledgewall/net/HostPool.java
+++ b/router/src/main/java/ledgewall/net/HostPool.java
@@ -13,8 +13,8 @@
  */
 final class HostPool {
     /**
-     * How long a connection should have been idle before it carries another query. Surplus data after the last answer, such as a
-     * duplicate, arrives meanwhile and closes the connection; later, it would also cost the query that is under way.
+     * How long a connection should have been idle before it carries another query. A copy of the last answer that a host sends
+     * late closes the connection meanwhile; the barrier behind each query holds back the next one in any case.
      */
     private static final long SETTLE_NANOS = Clock.millisToNanos(10);
     private static final int INITIAL_CAPACITY = 2;
@@ -88,11 +88,12 @@
         return !idle.isEmpty();
     }
 
-    /** A repeatable request may follow a probe without settling time: surplus data costs it a retry at most. */
+    /** A repeatable request may wait on a connection that has just carried a probe: surplus data costs it a retry at most. */
     private HostConnection findIdle(boolean repeatable) {
         long settledBefore = context.loop().now() - SETTLE_NANOS;
         for (HostConnection connection : idle) {
-            if (connection.idleSince() <= settledBefore || repeatable && connection.isIdleAfterProbe()) {
+            if (connection.isVerified() && connection.idleSince() <= settledBefore
+                    || repeatable && connection.isIdleAfterProbe()) {
                 return connection;
             }
         }
--- a/router/src/main/java/ledgewall/pg/QueryBarrier.java
+++ b/router/src/main/java/ledgewall/pg/QueryBarrier.java
@@ -1,32 +1,30 @@
 package ledgewall.pg;
 
-import java.util.Objects;
-
 /**
- * An empty query that goes out ahead of each query on a connection to a host. Nothing in a reply names its query, but a host
+ * An empty query that follows each answered query on a connection to a host. Nothing in a reply names its query, but a host
  * replies in order: whatever arrives before the reply to the empty query belongs to an earlier query, such as a second copy of
- * its answer, and what follows belongs to the query behind it.
+ * its answer. Only once that reply is there may the next query be sent.
  *
  * <p>PostgreSQL replies with EmptyQueryResponse. Servers that reject empty queries reply with an error, which marks the place as
- * well. Which of the two a host sends is learned from the first barrier on its connection, where no earlier answer can be.
+ * well, unless it could be a copy of the error that answered the query before.
  */
 public final class QueryBarrier {
     private static final byte[] MESSAGE = MessageWriter.query("");
 
-    private boolean learned;
-    /** The SQLSTATE of the host's replies to empty queries; null for EmptyQueryResponse, or as long as none has arrived. */
-    private String sqlState;
+    /** The SQLSTATE that answered the query before the barrier, or null. */
+    private String earlierSqlState;
     private boolean answered;
-    private boolean passed;
+    private boolean passed = true;
 
-    /** Begins the next barrier and returns the message to send ahead of the query. */
-    public byte[] begin() {
+    /** Begins a barrier behind a query with this reply; returns the message to send. */
+    public byte[] begin(Reply earlierReply) {
+        earlierSqlState = earlierReply.sqlState();
         answered = false;
         passed = false;
         return MESSAGE;
     }
 
-    /** Whether the host has replied to the empty query, so that the next messages belong to the query behind it. */
+    /** Whether the host has replied to the last empty query; also true before the first one. */
     public boolean isPassed() {
         return passed;
     }
@@ -35,8 +33,8 @@
     public void accept(Frame frame) throws ProtocolException {
         switch (frame.type()) {
             case 'N', 'S' -> { }
-            case 'I' -> acceptReply(null);
-            case 'E' -> acceptReply(ErrorResponse.sqlState(frame));
+            case 'I' -> acceptReply(true);
+            case 'E' -> acceptReply(!ErrorResponse.sqlState(frame).equals(earlierSqlState));
             case 'Z' -> {
                 require(answered);
                 passed = true;
@@ -45,10 +43,8 @@
         }
     }
 
-    private void acceptReply(String replySqlState) throws ProtocolException {
-        require(!answered && (!learned || Objects.equals(sqlState, replySqlState)));
-        learned = true;
-        sqlState = replySqlState;
+    private void acceptReply(boolean certain) throws ProtocolException {
+        require(certain && !answered);
         answered = true;
     }
 
@@ -57,9 +53,4 @@
             throw new ProtocolException("a message that belongs to an earlier query");
         }
     }
-
-    /** Whether a copy of this reply to a query could pass for the reply to the next empty query. */
-    public boolean resembles(Reply reply) {
-        return reply.sqlState() != null && reply.sqlState().equals(sqlState);
-    }
 }
