Ask again whether a query is wanted when its connection is ready

Hosts began attempts after their client had left or had its answer, and were told the time left at the decision.

Change: an attempt whose request has ended is not sent (never_sent), and its connection goes to the pool; the time told to the host is what is left when the query is written.

--- a/router/src/main/java/ledgewall/net/Attempt.java
+++ b/router/src/main/java/ledgewall/net/Attempt.java
@@ -71,8 +71,14 @@
     }
 
     @Override
-    public byte[] query() {
-        return request.statement().withTimeout(Math.max(1, Clock.nanosToMillis(timeoutNanos)));
+    public byte[] query(long at) {
+        long remainingNanos = timeoutNanos - Math.max(0, at - sentAt);
+        return request.statement().withTimeout(Math.max(1, Clock.nanosToMillis(remainingNanos)));
+    }
+
+    @Override
+    public boolean isStillWanted() {
+        return !request.isEnded();
     }
 
     @Override
--- a/router/src/main/java/ledgewall/net/Exchange.java
+++ b/router/src/main/java/ledgewall/net/Exchange.java
@@ -4,8 +4,13 @@
 
 /** One query on a connection to a host, with callbacks for its progress. Times are nanoseconds on the router's clock. */
 interface Exchange {
-    /** The encoded query message; requested just before it is written. */
-    byte[] query();
+    /** The encoded query message; requested just before it is written, at the given time. */
+    byte[] query(long at);
+
+    /** Whether the query is still to be sent; asked just before, as the exchange may have waited for its connection. */
+    default boolean isStillWanted() {
+        return true;
+    }
 
     /** Called when the query is about to be written. */
     void started(long at);
--- a/router/src/main/java/ledgewall/net/HostConnection.java
+++ b/router/src/main/java/ledgewall/net/HostConnection.java
@@ -97,12 +97,27 @@
     }
 
     private void sendQuery() {
+        if (!exchange.isStillWanted()) {
+            returnUnused();
+            return;
+        }
         state = State.BUSY;
         reply = new Reply();
         queryWritten = false;
         servedNotified = false;
-        exchange.started(context.clock().now());
-        context.transport().write(session, exchange.query());
+        long now = context.clock().now();
+        exchange.started(now);
+        context.transport().write(session, exchange.query(now));
+    }
+
+    /** Makes the connection available to other exchanges; its own has waited for it until nobody wanted it any more. */
+    private void returnUnused() {
+        Exchange unwanted = exchange;
+        exchange = null;
+        state = State.IDLE;
+        idleSince = context.loop().now();
+        onIdle.accept(this);
+        unwanted.ended(AttemptOutcome.NEVER_SENT, new Reply(), idleSince);
     }
 
     @Override
--- a/router/src/main/java/ledgewall/net/Probe.java
+++ b/router/src/main/java/ledgewall/net/Probe.java
@@ -64,7 +64,7 @@
     }
 
     @Override
-    public byte[] query() {
+    public byte[] query(long at) {
         return requestsReport ? REPORT_QUERY : HEALTH_QUERY;
     }
 
