Report nothing of an earlier answer for an attempt that waited behind it

Cause: an attempt that timed out before the barrier was passed reported with the reply that its connection still held, a probe's, so the policy was told its role as new. The reply is reset when an exchange takes the connection.

Test: the new case in StrayAnswerTest got PRIMARY without the change, and UNKNOWN with it; the other nine pass both ways.

--- a/router/src/main/java/ledgewall/net/HostConnection.java
+++ b/router/src/main/java/ledgewall/net/HostConnection.java
@@ -89,6 +89,7 @@
     /** Runs another exchange on this idle connection, as soon as no surplus data of the query before can arrive. */
     void start(Exchange next) {
         exchange = next;
+        reply = new Reply();
         if (barrier.isPassed()) {
             sendQuery();
         } else {
--- a/router/src/test/java/ledgewall/net/StrayAnswerTest.java
+++ b/router/src/test/java/ledgewall/net/StrayAnswerTest.java
@@ -14,6 +14,7 @@
 import ledgewall.RoutingPolicy.Outcome;
 import ledgewall.RoutingPolicy.ProbeResult;
 import ledgewall.RoutingPolicy.Result;
+import ledgewall.RoutingPolicy.Role;
 import ledgewall.standin.Client;
 import ledgewall.standin.Message;
 import ledgewall.standin.ScriptedPolicy;
@@ -205,4 +206,25 @@
         }
         assertEquals(3, host.acceptedCount());
     }
+
+    /** Guards against a time-out that passes the earlier answer's role on as the waiting attempt's. */
+    @Test
+    void attemptThatTimesOutBeforeTheBarrierIsPassedReportsNothingOfTheEarlierAnswer() throws IOException, InterruptedException {
+        StubServer host = new StubServer(connection -> {
+            connection.acceptStartup();
+            connection.readAnyQuery();
+            connection.write(Wire.param("mode", "read-write"), answer("SHOW stats"));
+            connection.awaitClose(); // the empty query gets no reply
+        });
+        ScriptedPolicy policy = new ScriptedPolicy(event -> event instanceof ProbeResult
+            ? List.of(new RoutingPolicy.Send(1, "m", 30 * RouterHarness.MS)) : List.of());
+        harness.host("m", host).start(policy);
+        harness.client().send(RouterHarness.lookQuery("r"));
+        policy.next(Arrival.class);
+        policy.submit(new RoutingPolicy.Probe("m"));
+        Outcome outcome = policy.next(Outcome.class);
+        assertEquals(Result.TIMED_OUT, outcome.result());
+        assertEquals(Role.UNKNOWN, outcome.role());
+        assertEquals(1, host.acceptedCount());
+    }
 }
