Remove methods of the connection pools that nothing calls

HostConnection.isQueryWritten and isIdle, HostPool.closeAll and Members.closeAll have no caller; the build and the linter pass without them.

--- a/router/src/main/java/ledgewall/net/HostConnection.java
+++ b/router/src/main/java/ledgewall/net/HostConnection.java
@@ -280,11 +280,6 @@
         }
     }
 
-    /** Whether the last byte of the current query has been written. */
-    boolean isQueryWritten() {
-        return queryWritten;
-    }
-
     /** Whether the answer is complete although ReadyForQuery has not arrived. */
     boolean isAnswered() {
         return state == State.BUSY && (reply.succeeded() || reply.sqlState() != null);
@@ -299,10 +294,6 @@
         return reply;
     }
 
-    boolean isIdle() {
-        return state == State.IDLE;
-    }
-
     /** When the connection became idle, in nanoseconds on the event loop's clock. */
     long idleSince() {
         return idleSince;
--- a/router/src/main/java/ledgewall/net/HostPool.java
+++ b/router/src/main/java/ledgewall/net/HostPool.java
@@ -139,8 +139,4 @@
     void closeIdle() {
         new ArrayList<>(idle).forEach(HostConnection::close);
     }
-
-    void closeAll() {
-        new ArrayList<>(all).forEach(HostConnection::close);
-    }
 }
--- a/router/src/main/java/ledgewall/net/Members.java
+++ b/router/src/main/java/ledgewall/net/Members.java
@@ -135,8 +135,4 @@
         removed.entrySet().removeIf(entry -> entry.getValue().isEmpty() && pools.remove(entry.getKey(), entry.getValue()));
         context.idleConnections().closeExpired(context.loop().now());
     }
-
-    void closeAll() {
-        pools.values().forEach(HostPool::closeAll);
-    }
 }
