Share what tests of one connection set up

ConnectionBacklogTest and ConnectionEvictionTest built the same connection without a socket; ConnectionFixture builds it for both.

--- a/router/src/test/java/ledgewall/net/ConnectionEvictionTest.java
+++ b/router/src/test/java/ledgewall/net/ConnectionEvictionTest.java
@@ -4,12 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.ByteBuffer;
 import ledgewall.standin.Wire;
-import org.apache.mina.core.session.DummySession;
-import org.apache.mina.core.session.IoSession;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -17,34 +13,18 @@
  * acknowledged the request in that read to the client, so that the request has to be answered first.
  */
 class ConnectionEvictionTest {
-    private final Clock clock = Clock.ofSystem();
-    private final Counters counters = new Counters();
-    private final EventLoop loop = new EventLoop(clock, counters);
-    private final Transport transport = new Transport(clock, loop, counters, 100);
-    private final RouterContext context = new RouterContext(clock, loop, transport, new DescriptorBudget(100), counters,
-        new BufferedBytes(), new IdleConnections(counters, 100, 0), 0);
-    private final IoSession session = new DummySession();
-    private final RecordingRequestHandler handler = new RecordingRequestHandler();
-    private final ClientConnection connection = new ClientConnection(context, handler);
-
-    @BeforeEach
-    void startUp() {
-        connection.opened(session);
-        read(Wire.startup("user", "u")).run();
-    }
+    private final ConnectionFixture fixture = new ConnectionFixture();
+    private final ClientConnection connection = fixture.connection();
+    private final RecordingRequestHandler handler = fixture.handler();
 
     @AfterEach
     void close() {
-        transport.close();
-    }
-
-    private Runnable read(byte[] bytes) {
-        return connection.receive(ByteBuffer.wrap(bytes), clock.now(), session);
+        fixture.close();
     }
 
     @Test
     void requestInAQueuedReadIsAnsweredBeforeTheConnectionIsEvicted() {
-        Runnable read = read(RouterHarness.lookQuery("1"));
+        Runnable read = fixture.read(RouterHarness.lookQuery("1"));
         assertFalse(connection.closeIfQuiescent());
         read.run();
         assertEquals(1, handler.slots().size());
@@ -57,8 +37,8 @@
 
     @Test
     void drainAnswersRequestsInQueuedReads() {
-        Runnable first = read(RouterHarness.lookQuery("1"));
-        Runnable second = read(RouterHarness.lookQuery("2"));
+        Runnable first = fixture.read(RouterHarness.lookQuery("1"));
+        Runnable second = fixture.read(RouterHarness.lookQuery("2"));
         connection.closeWhenAnswered();
         first.run();
         handler.slots().get(0).complete(Wire.row(new byte[] {1}));
@@ -71,7 +51,7 @@
 
     @Test
     void connectionClosesAfterAQueuedReadWithoutACommand() {
-        Runnable read = read(new byte[] {'Q'});
+        Runnable read = fixture.read(new byte[] {'Q'});
         connection.closeWhenAnswered();
         assertFalse(handler.isClosed());
         read.run();
@@ -80,7 +60,7 @@
 
     @Test
     void connectionIsEvictedAfterAQueuedReadWithoutACommand() {
-        Runnable read = read(new byte[] {'Q'});
+        Runnable read = fixture.read(new byte[] {'Q'});
         assertFalse(connection.closeIfQuiescent());
         assertFalse(handler.isClosed());
         read.run();
