Close no idle client before its answer has been sent

Cause: the eviction of idle clients looked at unanswered commands and queued reads, not at answers that the I/O thread had not sent after 50 ms; closing at once drops them.

Change: such a client is passed over, for 2.3 s at most, after which it has taken nothing for as long as a client may take to send.

Test: the new case of ConnectionEvictionTest fails without the change. The fixtures of the eviction tests now say when what they wrote was sent.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -473,9 +473,13 @@
         }
     }
 
-    /** Closes the connection to free its descriptor, unless a command is unanswered or a read is queued; true if it is closed. */
+    /**
+     * Closes the connection to free its descriptor; true if it is closed. It stays open while a command is unanswered, a read is
+     * queued, or an answer is not sent yet, unless the client has not taken that answer for long.
+     */
     boolean closeIfQuiescent() {
-        if (isQuiescent()) {
+        boolean answersTaken = unsentBytes == 0 || context.loop().now() >= idleSince + COMMAND_TIMEOUT_NANOS;
+        if (isQuiescent() && answersTaken) {
             close();
         }
         return closed;
--- a/router/src/test/java/ledgewall/net/ClientEvictionTest.java
+++ b/router/src/test/java/ledgewall/net/ClientEvictionTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import ledgewall.pg.MessageWriter;
 import ledgewall.standin.Wire;
 import org.apache.mina.core.session.DummySession;
 import org.apache.mina.core.session.IoSession;
@@ -83,6 +84,8 @@
             inTurn(() -> client.opened(session));
             byte[] startup = Wire.startup("user", "u");
             inTurn(read(i, idle ? Wire.join(startup, Wire.query("")) : startup));
+            int answerBytes = idle ? Wire.join(Wire.emptyQueryResponse(), Wire.ready()).length : 0;
+            inTurn(() -> client.written(MessageWriter.startupReply().length + answerBytes));
         }
     }
 
--- a/router/src/test/java/ledgewall/net/ConnectionEvictionTest.java
+++ b/router/src/test/java/ledgewall/net/ConnectionEvictionTest.java
@@ -30,7 +30,9 @@
         assertEquals(1, handler.slots().size());
         assertFalse(connection.closeIfQuiescent());
         assertFalse(handler.isClosed());
-        handler.slots().get(0).complete(Wire.row(new byte[] {1}));
+        byte[] answer = Wire.row(new byte[] {1});
+        handler.slots().get(0).complete(answer);
+        connection.written(answer.length);
         assertTrue(connection.closeIfQuiescent());
         assertTrue(handler.isClosed());
     }
@@ -73,4 +75,16 @@
         assertTrue(connection.closeIfQuiescent());
         assertTrue(handler.isClosed());
     }
+
+    /** Guards against an answer that is dropped because its connection is evicted before the I/O thread has sent it. */
+    @Test
+    void connectionIsNotEvictedBeforeItsAnswerIsSent() {
+        fixture.read(RouterHarness.lookQuery("1")).run();
+        byte[] answer = Wire.row(new byte[] {1});
+        handler.slots().get(0).complete(answer);
+        assertFalse(connection.closeIfQuiescent());
+        assertFalse(handler.isClosed());
+        connection.written(answer.length);
+        assertTrue(connection.closeIfQuiescent());
+    }
 }
--- a/router/src/test/java/ledgewall/net/ConnectionFixture.java
+++ b/router/src/test/java/ledgewall/net/ConnectionFixture.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.util.concurrent.atomic.AtomicLong;
+import ledgewall.pg.MessageWriter;
 import ledgewall.standin.Wire;
 import org.apache.mina.core.session.DummySession;
 import org.apache.mina.core.session.IoSession;
@@ -25,6 +26,7 @@
     ConnectionFixture() {
         connection.opened(session);
         read(Wire.startup("user", "u")).run();
+        connection.written(MessageWriter.startupReply().length);
     }
 
     ClientConnection connection() {
