--- a/router/src/test/java/ledgewall/fleet/FleetConfig.java
+++ b/router/src/test/java/ledgewall/fleet/FleetConfig.java
@@ -37,9 +37,18 @@
      * @param peerSettings the settings that name its peers; empty for a router without peers
      */
     static String routerConfig(DiscoveryServer discovery, int sockets, String peerSettings) {
+        return routerConfig(discovery, sockets, peerSettings, ROUTERS, RANK);
+    }
+
+    /** The configuration file of a router that has its members to itself, with %s in place of its listening address. */
+    static String singleRouterConfig(DiscoveryServer discovery, int sockets) {
+        return routerConfig(discovery, sockets, "", 1, 0);
+    }
+
+    private static String routerConfig(DiscoveryServer discovery, int sockets, String peerSettings, int routers, int rank) {
         return "{\"name\":\"r1\",\"listen\":\"%s\",\"discovery\":\"" + discovery.address() + "\",\"seed\":\"1c\"," + peerSettings
             + "\"limits\":{\"sockets\":" + sockets + "},\"known\":" + discovery.fullList()
-            + ",\"settings\":{\"peersTotal\":" + ROUTERS + ",\"rank\":" + RANK
+            + ",\"settings\":{\"peersTotal\":" + routers + ",\"rank\":" + rank
             + ",\"areas\":[\"north\",\"south\"],\"kinds\":[\"small\"],\"discovery\":\"push\",\"ceilings\":{\"maxAttempts\":10,"
             + "\"cancel\":true,\"probing\":true,\"peers\":" + !peerSettings.isEmpty() + ",\"connIdleNs\":30000000000,"
             + "\"connectTimeoutNs\":250000000},\"report\":{\"how\":\"probe\",\"fields\":[\"x0\",\"x1\"]},"
--- /dev/null
+++ b/router/src/test/java/ledgewall/fleet/HostileClientsTest.java
@@ -0,0 +1,242 @@
+package ledgewall.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.SocketException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import ledgewall.standin.Client;
+import ledgewall.standin.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A router process beside clients that flood it, leave it or crowd it: what they do costs themselves, and nobody else. */
+@Timeout(120)
+class HostileClientsTest {
+    private static final int SOCKETS = 384;
+    private static final int HOSTS = 8;
+    private static final long READ_DEADLINE_MS = 827;
+    private static final long WRITE_DEADLINE_MS = 1_098;
+    /** An attempt that begins later than this after its client's close is a lost request. */
+    private static final long LEAVE_BOUND_MS = 100;
+    private static final byte[] SYNC = Wire.message('S');
+    /** Of a machine of 128 MB. */
+    private static final long MEMORY_LIMIT_KILOBYTES = 128 * 1024;
+
+    @TempDir
+    private Path folder;
+    private RecordingHosts primaries;
+    private RecordingHosts replicas;
+    private DiscoveryServer discovery;
+    private RouterProcess router;
+
+    @BeforeEach
+    void start() throws IOException, InterruptedException {
+        primaries = new RecordingHosts(true);
+        replicas = new RecordingHosts(false);
+        List<String> entries = new ArrayList<>();
+        for (int i = 0; i < HOSTS; i++) {
+            entries.add(FleetConfig.entry(i, (FleetConfig.isPrimary(i) ? primaries : replicas).address(), 0));
+        }
+        discovery = new DiscoveryServer(entries);
+        router = RouterProcess.onOneProcessor(folder, FleetConfig.singleRouterConfig(discovery, SOCKETS));
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        router.close();
+        discovery.close();
+        primaries.close();
+        replicas.close();
+    }
+
+    /** Sends requests one after the other and returns how long each took, in milliseconds, beyond its deadline. */
+    private List<Long> lateAnswers(int requests) throws IOException, InterruptedException {
+        List<Long> late = new ArrayList<>();
+        try (Client client = Client.connect(router.address())) {
+            for (int i = 0; i < requests; i++) {
+                boolean write = i % 2 == 0;
+                long deadline = write ? WRITE_DEADLINE_MS : READ_DEADLINE_MS;
+                long startedAt = System.nanoTime();
+                client.send(HostileClients.request(HostileClients.newId(), write ? "put" : "look", deadline));
+                assertFalse(client.readReplyTypes().isEmpty(), "closed without an answer");
+                long elapsed = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt);
+                if (elapsed > deadline) {
+                    late.add(elapsed);
+                }
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+        }
+        return late;
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"empty queries", "syncs"})
+    void floodOfOneKindOfCommandDelaysNoOtherClient(String kind) throws IOException, InterruptedException {
+        lateAnswers(10); // compiles what a request passes
+        try (HostileClients hostile = new HostileClients(router.address())) {
+            hostile.flood(6, kind.equals("syncs") ? SYNC : Wire.query(""));
+            assertEquals(List.of(), lateAnswers(60));
+        }
+    }
+
+    @Test
+    void clientsThatComeBesideAFloodAreAllAnswered() throws IOException, InterruptedException {
+        primaries.answerAfter(600, false);
+        try (HostileClients hostile = new HostileClients(router.address())) {
+            hostile.flood(12, Wire.query(""));
+            List<HostileClients.CrowdResult> results = HostileClients.crowd(router.address(), 600, 1_500, WRITE_DEADLINE_MS);
+            List<HostileClients.CrowdResult> unanswered = results.stream().filter(result -> !result.isAnswered()).toList();
+            assertEquals(600, results.size());
+            assertTrue(unanswered.isEmpty(), () -> unanswered.size() + " without an answer: "
+                + unanswered.stream().limit(5).toList());
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"look", "put"})
+    void noAttemptBeginsOnceTheClientOfALongPipelineHasLeft(String className) throws IOException, InterruptedException {
+        primaries.answerAfter(300, className.equals("put"));
+        replicas.answerAfter(300, false);
+        List<Long> late = new ArrayList<>();
+        for (int round = 0; round < 4; round++) {
+            HostileClients.LeftPipeline pipeline = HostileClients.sendAndLeave(router.address(), 400, className, new byte[0], 100);
+            TimeUnit.MILLISECONDS.sleep(1_000);
+            late.addAll(pipeline.attemptsBegunLaterThan(LEAVE_BOUND_MS, primaries, replicas));
+        }
+        assertEquals(List.of(), late);
+    }
+
+    @Test
+    void noAttemptBeginsOnceTheClientOfAHalfSentRequestHasLeft() throws IOException, InterruptedException {
+        primaries.answerAfter(300, true);
+        byte[] request = HostileClients.request(HostileClients.newId(), "put", 5_000);
+        List<Long> late = new ArrayList<>();
+        for (int round = 0; round < 4; round++) {
+            HostileClients.LeftPipeline pipeline = HostileClients.sendAndLeave(router.address(), 90, "put",
+                Arrays.copyOf(request, request.length / 2), 100);
+            TimeUnit.MILLISECONDS.sleep(1_000);
+            late.addAll(pipeline.attemptsBegunLaterThan(LEAVE_BOUND_MS, primaries, replicas));
+        }
+        assertEquals(List.of(), late);
+    }
+
+    /** Sends one request on a connection of its own, and leaves before there can be an answer. */
+    private void sendAndLeave(String id, long deadlineMillis) throws IOException, InterruptedException {
+        try (Client client = Client.connect(router.address())) {
+            client.send(HostileClients.request(id, "put", deadlineMillis));
+            TimeUnit.MILLISECONDS.sleep(100);
+        }
+    }
+
+    private void sendAgain(String id) throws IOException {
+        try (Client client = Client.connect(router.address())) {
+            client.send(HostileClients.request(id, "put", WRITE_DEADLINE_MS));
+            client.readReplyTypes();
+        }
+    }
+
+    @Test
+    void writeOfAClientThatLeftRunsOnceAlsoWhenItsIdComesAgainAfterItsDeadline() throws IOException, InterruptedException {
+        primaries.answerAfter(200, false);
+        sendAndLeave("w1", 400);
+        sendAgain("w1");
+        TimeUnit.MILLISECONDS.sleep(600);
+        sendAgain("w1");
+        assertEquals(1, primaries.arrivalsOf("w1").size());
+    }
+
+    @Test
+    void writeRunsOnceAlsoWhenItsIdComesAgainAfterManyOtherIds() throws IOException, InterruptedException {
+        primaries.answerAfter(200, false);
+        sendAndLeave("w2", 60_000);
+        primaries.answerAfter(0, false);
+        try (Client client = Client.connect(router.address())) {
+            for (int batch = 0; batch < 17; batch++) {
+                byte[][] requests = new byte[1_000][];
+                Arrays.setAll(requests, i -> HostileClients.request(HostileClients.newId(), "look", 60_000));
+                client.send(requests);
+                for (int i = 0; i < requests.length; i++) {
+                    client.readReplyTypes();
+                }
+            }
+        }
+        sendAgain("w2");
+        assertEquals(1, primaries.arrivalsOf("w2").size());
+    }
+
+    private void assertStillServes() throws IOException {
+        assertTrue(router.isAlive());
+        assertFalse(router.log().contains("OutOfMemoryError"), router.log());
+        assertTrue(router.peakMemoryKilobytes() < MEMORY_LIMIT_KILOBYTES, "peak " + router.peakMemoryKilobytes() + " kB");
+        try (Client client = Client.connect(router.address())) {
+            client.send(HostileClients.request(HostileClients.newId(), "look", WRITE_DEADLINE_MS));
+            assertEquals("TDCZ", client.readReplyTypes());
+        }
+    }
+
+    @Test
+    void crowdWithRequestsOfManyShortFieldsTakesNoMoreMemoryThanThereIs() throws IOException, InterruptedException {
+        primaries.answerAfter(600, false);
+        replicas.answerAfter(600, false);
+        StringBuilder names = new StringBuilder();
+        for (int i = 1; names.length() < 1_900; i++) {
+            names.append('b').append(Integer.toString(i, Character.MAX_RADIX)).append("=,");
+        }
+        try (HostileClients hostile = new HostileClients(router.address())) {
+            for (int i = 0; i < 200; i++) {
+                byte[][] requests = new byte[64][];
+                Arrays.setAll(requests, n -> Wire.query("/* id=" + HostileClients.newId() + ",c=look,d=5000,cluster=0," + names
+                    + " */ SELECT data FROM facts WHERE code = 'k1'"));
+                sendUnlessClosed(hostile, Wire.join(requests));
+            }
+            TimeUnit.MILLISECONDS.sleep(500);
+        }
+        primaries.answerAfter(0, false);
+        replicas.answerAfter(0, false);
+        TimeUnit.MILLISECONDS.sleep(1_000);
+        assertStillServes();
+    }
+
+    @Test
+    void crowdThatStopsHalfWayThroughLargeRequestsTakesNoMoreMemoryThanThereIs() throws IOException, InterruptedException {
+        byte[] incomplete = Arrays.copyOf(Wire.query("x".repeat(190_000)), 140_000);
+        try (HostileClients hostile = new HostileClients(router.address())) {
+            for (int i = 0; i < 350; i++) {
+                sendUnlessClosed(hostile, incomplete);
+            }
+            TimeUnit.MILLISECONDS.sleep(500);
+        }
+        TimeUnit.MILLISECONDS.sleep(500);
+        assertStillServes();
+    }
+
+    @Test
+    void crowdThatFloodsTakesNoMoreMemoryThanThereIs() throws IOException, InterruptedException {
+        try (HostileClients hostile = new HostileClients(router.address())) {
+            hostile.flood(150, SYNC);
+            TimeUnit.MILLISECONDS.sleep(3_000);
+        }
+        TimeUnit.MILLISECONDS.sleep(1_000);
+        assertStillServes();
+    }
+
+    private static void sendUnlessClosed(HostileClients hostile, byte[] bytes) throws IOException {
+        try {
+            hostile.sendAndStay(bytes);
+        } catch (SocketException e) {
+            // turned away or cut off by the router
+        }
+    }
+}
--- a/router/src/test/java/ledgewall/fleet/RouterProcess.java
+++ b/router/src/test/java/ledgewall/fleet/RouterProcess.java
@@ -20,19 +20,36 @@
     private static final int SYSTEM_TIME_FIELD = 12;
     private static final double TICKS_PER_SECOND = 100;
 
+    private static final Path TASKSET = Path.of("/usr/bin/taskset");
+
     private final Process process;
     private final Path log;
     private final InetSocketAddress address;
 
     /** Starts a router and waits until it listens; {@code config} has %s in place of the listening address. */
     RouterProcess(Path folder, String config) throws IOException, InterruptedException {
+        this(folder, config, List.of());
+    }
+
+    /** Starts a router that may use one processor only, as on the target platform, where the system can arrange that. */
+    static RouterProcess onOneProcessor(Path folder, String config) throws IOException, InterruptedException {
+        return new RouterProcess(folder, config, Files.isExecutable(TASKSET) ? List.of("" + TASKSET, "-c", lastProcessor()) : List.of());
+    }
+
+    private static String lastProcessor() throws IOException {
+        return Files.readAllLines(Path.of("/proc/self/status")).stream().filter(line -> line.startsWith("Cpus_allowed_list:"))
+            .map(line -> line.replaceAll(".*[^0-9]", "")).findFirst().orElseThrow();
+    }
+
+    private RouterProcess(Path folder, String config, List<String> prefix) throws IOException, InterruptedException {
         address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
         Path file = folder.resolve("router.json");
         Files.writeString(file, String.format(config, "127.0.0.1:" + address.getPort()));
         log = folder.resolve("router.log");
-        List<String> command = new ArrayList<>(List.of(
+        List<String> command = new ArrayList<>(prefix);
+        command.addAll(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xss256k", "-Xms40m", "-Xmx40m",
-            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true",
+            "-XX:MaxDirectMemorySize=8m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true",
             "-Dorg.slf4j.simpleLogger.defaultLogLevel=" + System.getProperty("ledgewall.log", "info"),
             "-cp", System.getProperty("java.class.path"), "ledgewall.Main", "serve", file.toString()));
         process = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(log.toFile()).start();
@@ -70,6 +87,16 @@
         return (Long.parseLong(fields[USER_TIME_FIELD]) + Long.parseLong(fields[SYSTEM_TIME_FIELD])) / TICKS_PER_SECOND;
     }
 
+    /** The largest amount of memory that the process has had resident so far, in kilobytes. */
+    long peakMemoryKilobytes() throws IOException {
+        return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream().filter(line -> line.startsWith("VmHWM:"))
+            .mapToLong(line -> Long.parseLong(line.replaceAll("[^0-9]", ""))).findFirst().orElseThrow();
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     long openDescriptors() throws IOException {
         try (Stream<Path> files = Files.list(Path.of("/proc/" + process.pid() + "/fd"))) {
             return files.count();
