Refuse the requests of clients that are turned away, instead of closing over them

Cause: the I/O thread accepts and reads a connection while the event loop is late; the loop then found that clients held all their descriptors and closed the connection over the request that had been read. The class of fault: a decision on a connection that takes no account of what has been read of it. Change: a client that is turned away is never closed at once. Its requests are refused (53300) and it ends after the first, or after 0.2 s in which nothing has come. It uses the descriptors that are kept back for connections on their way in, so that the acceptor's limit bounds their number.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -49,9 +49,7 @@
         /** Its requests are accepted. */
         SERVED,
         /** There is no capacity for its requests: each is refused, and the connection ends after the first. */
-        REFUSED,
-        /** It is closed at once: clients already hold all the descriptors that clients may hold. */
-        CLOSED
+        REFUSED
     }
 
     /** Admits connections and handles their requests. */
@@ -74,7 +72,7 @@
         /** The client of this request has disconnected, or its connection has failed. */
         void requestAbandoned(ClientRequest request);
 
-        /** An admitted connection has closed. */
+        /** A connection has closed. */
         void connectionClosed(ClientConnection connection);
 
         /** A complete command has been received. */
@@ -98,7 +96,8 @@
     private final List<byte[]> unwrittenAnswers = new ArrayList<>();
     private IoSession session;
     private ClientIdentity client = new ClientIdentity("", "", "");
-    private Admission admission = Admission.CLOSED;
+    /** Null until the event loop has heard of the connection. */
+    private Admission admission;
     private boolean closed;
     private boolean skipsUntilSync;
     private boolean closing;
@@ -149,9 +148,6 @@
         session = newSession;
         openedAt = context.loop().now();
         admission = requestHandler.admit(this);
-        if (admission == Admission.CLOSED) {
-            close();
-        }
     }
 
     @Override
@@ -580,7 +576,7 @@
         answerSlots.clear();
         queuedCommands.clear();
         unwrittenAnswers.clear();
-        if (admission != Admission.CLOSED) {
+        if (admission != null) {
             requestHandler.connectionClosed(this);
         }
     }
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -46,7 +46,14 @@
     private final Map<String, Integer> tenantIndexes;
     private final long answerSlackNanos;
     private final Map<Long, ClientRequest> requests = new HashMap<>();
+    /** Admitted clients. */
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
+    /**
+     * Clients that were turned away, the oldest first. What they had written by then may have been read, so that each stays
+     * until its request is refused, or until nothing has come of it for {@link #MIN_SILENT_NANOS}. They use descriptors that are
+     * kept back for connections on their way in or out, so that their number is bounded by what the acceptor accepts.
+     */
+    private final Set<ClientConnection> refusedClients = new LinkedHashSet<>();
     /** Clients that have not sent a complete command yet, the oldest first; removed at the first command or when closed. */
     private final Set<ClientConnection> silentClients = new LinkedHashSet<>();
     /** Clients without an unanswered command, the longest idle first; removed at the next command or when closed. */
@@ -81,6 +88,7 @@
 
     @Override
     public ClientConnection.Admission admit(ClientConnection connection) {
+        context.counters().add(Counters.Count.CLIENTS);
         if (clients.size() >= context.descriptors().softClientLimit()) {
             evictClient();
         }
@@ -89,18 +97,17 @@
         if (!admitted) {
             context.counters().add(Counters.Count.CLIENTS_TURNED_AWAY);
             LOG.debug("event=client_turned_away full={} clients={} held={}", full, clients.size(), context.descriptors().held());
-        }
-        if (full && !admitted) {
-            return ClientConnection.Admission.CLOSED;
+            refusedClients.add(connection);
+            connection.closeAfterNextAnswer();
+            return ClientConnection.Admission.REFUSED;
         }
         context.descriptors().acquire();
-        context.counters().add(Counters.Count.CLIENTS);
         clients.add(connection);
         silentClients.add(connection);
-        if (draining || !admitted) {
+        if (draining) {
             connection.closeAfterNextAnswer();
         }
-        return admitted ? ClientConnection.Admission.SERVED : ClientConnection.Admission.REFUSED;
+        return ClientConnection.Admission.SERVED;
     }
 
     @Override
@@ -112,6 +119,9 @@
 
     @Override
     public void connectionClosed(ClientConnection connection) {
+        if (refusedClients.remove(connection)) {
+            return;
+        }
         context.descriptors().release();
         clients.remove(connection);
         silentClients.remove(connection);
@@ -126,7 +136,9 @@
 
     @Override
     public void connectionIdle(ClientConnection connection) {
-        idleClients.add(connection);
+        if (!refusedClients.contains(connection)) {
+            idleClients.add(connection);
+        }
     }
 
     /** Frees a descriptor: from clients without a command first, then from idle clients, then from idle connections to hosts. */
@@ -136,11 +148,18 @@
 
     /** Called while clients wait to be accepted because too many sockets are open: closes the least useful connection. */
     void freeDescriptorForPendingClient() {
-        if (!context.descriptors().hasRoomForTraffic()) {
+        if (!closeRefused() && !context.descriptors().hasRoomForTraffic()) {
             freeDescriptor();
         }
     }
 
+    /** Closes clients that were turned away and have sent no request since; returns whether there was one. */
+    private boolean closeRefused() {
+        long openedBefore = context.loop().now() - MIN_SILENT_NANOS;
+        return refusedClients.stream().takeWhile(client -> client.openedAt() <= openedBefore).toList().stream()
+            .filter(ClientConnection::closeIfQuiescent).count() > 0;
+    }
+
     /**
      * Closes the oldest client without a command, else the longest idle one. Returns false if none may be closed in this turn:
      * a caller that repeats the call until it returns false closes a client each time, and so comes to an end.
@@ -174,9 +193,8 @@
     /** Fails stalled clients, evicts idle ones over the limit and expires reserved ids. */
     void sweep() {
         long now = context.loop().now();
-        for (ClientConnection connection : List.copyOf(clients)) {
-            connection.failIfStalled(now);
-        }
+        openConnections().forEach(connection -> connection.failIfStalled(now));
+        closeRefused();
         while (clients.size() > context.descriptors().softClientLimit() && evictClient()) {
             continue; // until the number is within the limit, or no other may be evicted
         }
@@ -438,7 +456,7 @@
     /** Closes each connection once its commands are answered; new ones close after their first answer. */
     void drain() {
         draining = true;
-        new ArrayList<>(clients).forEach(ClientConnection::closeWhenAnswered);
+        openConnections().forEach(ClientConnection::closeWhenAnswered);
     }
 
     /** Fails every request that has no answer yet, and refuses those that are received from now on. */
@@ -452,10 +470,17 @@
     }
 
     boolean hasClients() {
-        return !clients.isEmpty();
+        return !clients.isEmpty() || !refusedClients.isEmpty();
     }
 
     void closeClients() {
-        new ArrayList<>(clients).forEach(ClientConnection::close);
+        openConnections().forEach(ClientConnection::close);
+    }
+
+    /** A copy of all open connections: those served and those turned away. */
+    private List<ClientConnection> openConnections() {
+        List<ClientConnection> connections = new ArrayList<>(clients);
+        connections.addAll(refusedClients);
+        return connections;
     }
 }
