Read on while requests are in hand, so that a client's leave is noticed

Cause: with 64 commands in hand, at a planned stop and while answers were not taken, the router suspended reading. The end of the stream lay behind bytes that it did not read, so that the leave showed only once commands were answered, and each answer moved up requests of a client that had gone. The class of fault: backpressure by not reading, on a connection whose end matters. Change: reading goes on while a request of the connection is in hand. Commands are queued up to 512 KiB of heap; requests beyond that are refused, which honest pipelines of a thousand requests never meet; a flood too fast for that, or 4,096 answers behind an unanswered command, has the requests in hand given up, and only then may reading stop. A client that ends its sending counts as having left; its requests are answered at once all the same. Counters queues_shed, reads_suspended.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -21,8 +21,12 @@
 final class ClientConnection implements Endpoint, InputScheduler.Source {
     /** Longest message, in bytes: a statement with a value of 64 KiB in hexadecimal digits, and room for the rest of it. */
     private static final int MAX_MESSAGE_BYTES = 192 * 1024;
-    /** Unanswered commands at which further ones are queued, and reading is suspended, until some are answered. */
+    /** Unanswered commands at which further ones are queued until some are answered. */
     private static final int MAX_PIPELINED_COMMANDS = 64;
+    /** Memory for queued commands, in bytes as {@link QueuedCommand#heapBytes()} counts them, at which they are refused. */
+    private static final int MAX_QUEUED_BYTES = 512 * 1024;
+    /** Answers that wait for an earlier command's at which that command's request, and all others, are given up. */
+    private static final int MAX_WAITING_ANSWERS = 4_096;
 
     /**
      * Time within which a client has to send a complete command. A client that sends none has to get an error, or see its
@@ -107,6 +111,14 @@
     private boolean failed;
     private boolean processingQueue;
     private int pendingStatementBytes;
+    /** Memory that the queued commands take. */
+    private int queuedBytes;
+    /** Submitted requests without an answer. */
+    private int requestsInHand;
+    /** Whether the client has ended its sending. */
+    private boolean inputEnded;
+    /** Whether a close waits for a pass of the I/O thread, by {@link #closeOnceAllIsRead}. */
+    private boolean awaitingReads;
     private int unsentBytes;
     private boolean commandReceived;
     private int invalidCommands;
@@ -118,9 +130,18 @@
 
     /** A command that waits for earlier ones to be answered, and when it was received. */
     private record QueuedCommand(ClientMessage message, long receivedAt) {
+        private static final int COMMAND_BYTES = 64;
+        /** A statement's fields and names beside its bytes. */
+        private static final int STATEMENT_BYTES = 320;
+
         int statementBytes() {
             return message instanceof ClientMessage.Query query ? query.statement().size() : 0;
         }
+
+        /** About how much of the heap it takes. */
+        int heapBytes() {
+            return COMMAND_BYTES + (message instanceof ClientMessage.Query ? STATEMENT_BYTES + statementBytes() : 0);
+        }
     }
 
     /** One command's place in the order of answers, and its answer once there is one. */
@@ -130,11 +151,20 @@
         private int statementBytes;
         private boolean closesConnection;
         private boolean refused;
+        private boolean inHand;
 
         void complete(byte[] message) {
-            answer = message;
+            setAnswer(message);
             flush();
         }
+
+        private void setAnswer(byte[] message) {
+            answer = message;
+            if (inHand) {
+                inHand = false;
+                requestsInHand--;
+            }
+        }
     }
 
     ClientConnection(RouterContext context, RequestHandler requestHandler) {
@@ -208,8 +238,12 @@
             QueuedCommand command = new QueuedCommand(message, read.receivedAt());
             queuedCommands.add(command);
             pendingStatementBytes += command.statementBytes();
+            queuedBytes += command.heapBytes();
         }
         processQueued();
+        if (queuedBytes > MAX_QUEUED_BYTES) {
+            shedQueuedCommands();
+        }
         if (read.violation() != null) {
             failConnection(read.violation());
         }
@@ -230,8 +264,7 @@
                 context.loop().inputScheduler().defer(this);
                 break;
             }
-            QueuedCommand command = queuedCommands.poll();
-            pendingStatementBytes -= command.statementBytes();
+            QueuedCommand command = pollQueuedCommand();
             process(command.message(), command.receivedAt());
         }
         processingQueue = false;
@@ -242,6 +275,41 @@
         updateReading();
     }
 
+    private QueuedCommand pollQueuedCommand() {
+        QueuedCommand command = queuedCommands.poll();
+        pendingStatementBytes -= command.statementBytes();
+        queuedBytes -= command.heapBytes();
+        return command;
+    }
+
+    /**
+     * Frees memory of a queue that has grown too long while reading must go on: queued requests are refused. What a connection
+     * may process in one turn suffices for what a client pipelines that waits for answers; if it does not, or if too many
+     * answers wait for an earlier one, the requests in hand are given up, and reading may be suspended.
+     */
+    private void shedQueuedCommands() {
+        if (closed || requestsInHand == 0) {
+            return; // reading is suspended until the queue is processed
+        }
+        context.counters().add(Counters.Count.QUEUES_SHED);
+        while (!closed && queuedBytes > MAX_QUEUED_BYTES && quota.take()) {
+            refuseNextCommand();
+        }
+        if (queuedBytes > MAX_QUEUED_BYTES || answerSlots.size() > MAX_WAITING_ANSWERS) {
+            giveUpRequests();
+        }
+        processQueued();
+    }
+
+    /** Answers the requests in hand at once: as refused those of which nothing was sent, the others as failed. */
+    private void giveUpRequests() {
+        for (AnswerSlot slot : List.copyOf(answerSlots)) {
+            if (slot.inHand) {
+                requestHandler.giveUp(slot.request);
+            }
+        }
+    }
+
     /** Writes all answers that are ready in one piece: a write for each would cost a system call and a task for each. */
     private void writeAnswers() {
         if (closed || unwrittenAnswers.isEmpty()) {
@@ -254,38 +322,45 @@
         context.transport().write(session, bytes);
     }
 
-    /** Suspends or resumes reading, depending on capacity. */
+    /**
+     * Suspends or resumes reading. While a request is in hand the router reads on, since only that tells it that the client has
+     * left: the end of the stream lies behind all that the client has sent. Without one, reading depends on capacity.
+     */
     private void updateReading() {
         updateBufferedBytes();
         if (closed) {
             return;
         }
-        boolean shouldRead = queuedCommands.isEmpty() && hasCapacity() && (!closing || readsPutOff)
-            && queuedReads.get() < MAX_QUEUED_READS;
-        if (shouldRead || clientTakesNoAnswers()) {
+        boolean hasQueueCapacity = queuedReads.get() < MAX_QUEUED_READS;
+        boolean takesCommands = queuedCommands.isEmpty() && hasCapacity() && (!closing || readsPutOff) && hasQueueCapacity;
+        boolean shouldRead = !inputEnded && (takesCommands || requestsInHand > 0 && hasQueueCapacity);
+        if (takesCommands || clientTakesNoAnswers()) {
             incompleteMessage.resume(context.loop().now());
         } else {
             incompleteMessage.pause(context.loop().now());
         }
         if (shouldRead && session.isReadSuspended()) {
             session.resumeRead();
-            if (closing) {
-                closeOnceAllIsRead();
-            }
         } else if (!shouldRead && !session.isReadSuspended()) {
+            context.counters().add(Counters.Count.READS_SUSPENDED);
             session.suspendRead();
         }
+        if (takesCommands && closing && !awaitingReads) {
+            closeOnceAllIsRead();
+        }
     }
 
     /** Lets a close that waits for put-off reads go on once a whole pass of the I/O thread has found nothing more to read. */
     private void closeOnceAllIsRead() {
+        awaitingReads = true;
         long readsBefore = processedReads;
         context.transport().afterPendingReads(() -> {
-            if (closed || session.isReadSuspended()) {
-                return; // called again when reading resumes
+            awaitingReads = false;
+            if (closed) {
+                return;
             }
-            if (processedReads != readsBefore) {
-                closeOnceAllIsRead();
+            if (processedReads != readsBefore || session.isReadSuspended()) {
+                updateReading(); // which comes here again
                 return;
             }
             readsPutOff = false;
@@ -297,7 +372,7 @@
     private void beginClosing() {
         if (!closing) {
             closing = true;
-            readsPutOff = session.isReadSuspended() && !clientTakesNoAnswers();
+            readsPutOff = (session.isReadSuspended() || !queuedCommands.isEmpty()) && !clientTakesNoAnswers();
         }
     }
 
@@ -364,6 +439,8 @@
         }
         slot.statementBytes = statement.size();
         pendingStatementBytes += slot.statementBytes;
+        slot.inHand = true;
+        requestsInHand++;
         slot.request = requestHandler.submit(statement, slot, receivedAt, client);
     }
 
@@ -393,31 +470,66 @@
         }
         context.counters().add(Counters.Count.BAD_CLIENTS);
         failed = true;
+        abandonRequests(reason);
+        refuseQueuedCommands();
+        closeWithError(reason);
+    }
+
+    /** Ends the requests in hand, each with an error. */
+    private void abandonRequests(String reason) {
         for (AnswerSlot slot : List.copyOf(answerSlots)) {
             if (slot.answer == null) {
                 requestHandler.requestAbandoned(slot.request);
-                slot.answer = MessageWriter.join(
-                    MessageWriter.error(SqlState.CONNECTION_FAILURE, reason), MessageWriter.readyForQuery());
+                slot.setAnswer(MessageWriter.join(
+                    MessageWriter.error(SqlState.CONNECTION_FAILURE, reason), MessageWriter.readyForQuery()));
             }
         }
-        refuseQueuedCommands();
-        closeWithError(reason);
     }
 
-    /** Answers the commands that have been received but not submitted: they have had no effect. */
+    /** Answers the commands that have been received but not submitted, requests as refused: they have had no effect. */
     private void refuseQueuedCommands() {
-        List<QueuedCommand> commands = List.copyOf(queuedCommands);
-        queuedCommands.clear();
-        for (QueuedCommand command : commands) {
-            pendingStatementBytes -= command.statementBytes();
-            if (command.message() instanceof ClientMessage.Query && !skipsUntilSync) {
-                AnswerSlot slot = new AnswerSlot();
-                answerSlots.add(slot);
-                slot.refused = true;
-                requestHandler.refuse(slot);
-            } else if (command.message() instanceof ClientMessage.EmptyQuery || command.message() instanceof ClientMessage.Sync) {
-                process(command.message(), command.receivedAt());
-            }
+        boolean outerProcessing = processingQueue;
+        processingQueue = true; // so that the places of those that are answered are not taken by those to be refused
+        while (!closed && !queuedCommands.isEmpty()) {
+            refuseNextCommand();
+        }
+        processingQueue = outerProcessing;
+        if (!processingQueue) {
+            writeAnswers();
+        }
+    }
+
+    private void refuseNextCommand() {
+        QueuedCommand command = pollQueuedCommand();
+        if (command.message() instanceof ClientMessage.Query && !skipsUntilSync) {
+            AnswerSlot slot = new AnswerSlot();
+            answerSlots.add(slot);
+            slot.refused = true;
+            requestHandler.refuse(slot);
+        } else {
+            process(command.message(), command.receivedAt());
+        }
+    }
+
+    /**
+     * The client has ended its sending, which cannot be told from a close until something is written. It counts as having left:
+     * no attempt may begin after that. What is in hand and queued is answered all the same, should it still listen.
+     */
+    @Override
+    public void inputEnded(long endedAt) {
+        if (closed || inputEnded) {
+            return;
+        }
+        inputEnded = true;
+        closing = true;
+        readsPutOff = false;
+        abandonRequests("the client has ended its connection");
+        refuseQueuedCommands();
+        if (!closed) {
+            flush();
+        }
+        if (!closed) {
+            closeOnFlush();
         }
     }
 
@@ -548,11 +660,7 @@
         }
         context.counters().add(Counters.Count.SHED_FOR_MEMORY);
         refuseQueuedCommands();
-        for (AnswerSlot slot : List.copyOf(answerSlots)) {
-            if (slot.answer == null) {
-                requestHandler.giveUp(slot.request);
-            }
-        }
+        giveUpRequests();
         updateBufferedBytes();
     }
 
--- a/router/src/main/java/ledgewall/net/Discovery.java
+++ b/router/src/main/java/ledgewall/net/Discovery.java
@@ -207,6 +207,12 @@
             }
         }
 
+        @Override
+        public void inputEnded(long at) {
+            endCall();
+            session.closeNow();
+        }
+
         @Override
         public void disconnected(long at) {
             endCall();
--- a/router/src/main/java/ledgewall/net/Endpoint.java
+++ b/router/src/main/java/ledgewall/net/Endpoint.java
@@ -14,6 +14,12 @@
     /** Called on the event loop: one write, of this many bytes, has been written completely. */
     void written(int bytes);
 
-    /** Called on the event loop: the remote side has closed its output, or the connection is closed. May be called twice. */
+    /**
+     * Called on the event loop: the remote side has ended its sending. Reading has been suspended; unless the endpoint closes the
+     * connection, it must not resume it.
+     */
+    void inputEnded(long at);
+
+    /** Called on the event loop: the connection is closed. */
     void disconnected(long at);
 }
--- a/router/src/main/java/ledgewall/net/HostConnection.java
+++ b/router/src/main/java/ledgewall/net/HostConnection.java
@@ -238,6 +238,11 @@
         }, at);
     }
 
+    @Override
+    public void inputEnded(long at) {
+        disconnected(at);
+    }
+
     @Override
     public void disconnected(long at) {
         fail(queryWritten ? AttemptOutcome.BROKEN_AFTER_WRITTEN : AttemptOutcome.BROKEN_BEFORE_WRITTEN, at);
--- a/router/src/main/java/ledgewall/net/Transport.java
+++ b/router/src/main/java/ledgewall/net/Transport.java
@@ -172,25 +172,23 @@
 
         @Override
         public void inputClosed(IoSession session) {
-            notifyDisconnected(session);
-            session.closeNow();
+            session.suspendRead(); // the end of the stream would be read again and again
+            Endpoint endpoint = endpointOf(session);
+            long at = clock.now();
+            loop.post(() -> endpoint.inputEnded(at));
         }
 
         @Override
         public void sessionClosed(IoSession session) {
             openSockets.decrementAndGet();
-            notifyDisconnected(session);
+            Endpoint endpoint = endpointOf(session);
+            long at = clock.now();
+            loop.post(() -> endpoint.disconnected(at));
         }
 
         @Override
         public void exceptionCaught(IoSession session, Throwable cause) {
             session.closeNow(); // broken connections are expected; the outcome of each is counted
         }
-
-        private void notifyDisconnected(IoSession session) {
-            Endpoint endpoint = endpointOf(session);
-            long at = clock.now();
-            loop.post(() -> endpoint.disconnected(at));
-        }
     }
 }
--- a/router/src/test/java/ledgewall/net/ConnectionFixture.java
+++ b/router/src/test/java/ledgewall/net/ConnectionFixture.java
@@ -49,6 +49,11 @@
         return session.isReadSuspended();
     }
 
+    /** Begins another turn of the event loop. */
+    void startTurn() {
+        loop.inputScheduler().startTurn();
+    }
+
     /** Reads bytes as the I/O thread does, and returns the task that it queues for the event loop. */
     Runnable read(byte[] bytes) {
         return connection.receive(ByteBuffer.wrap(bytes), clock.now(), session);
