Hold a write's id up to its deadline and remember it after, instead of forgetting the oldest

Cause: the table of ids forgot its oldest entry when it was full, whether its time was over or not, and every entry at its deadline, although a write whose client has left may have run. The class of fault: a bounded memory of what must not happen twice that drops entries in use. Change: RequestIds, a module of its own. A write's id is held up to its deadline and remembered for 300 s after it; where all 16,384 places are held the request is refused, and one connection may hold an eighth of them, for 60 s at most whatever deadline is invented. Ids of reads stand apart and are forgotten as before, which costs no effect. Any id is free again at the end of a request of which nothing was sent. Counter ids_exhausted.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -96,6 +96,7 @@
     /** Commands in the reads that are queued for the event loop. */
     private final AtomicInteger commandsInQueuedReads = new AtomicInteger();
     private final InputScheduler.Quota quota;
+    private final RequestIds.Share idShare = new RequestIds.Share();
     /** Answers that are ready to be written, in order; written together at the end of a turn's commands. */
     private final List<byte[]> unwrittenAnswers = new ArrayList<>();
     private IoSession session;
@@ -153,6 +154,11 @@
         private boolean refused;
         private boolean inHand;
 
+        /** The ids that requests of this slot's connection hold. */
+        RequestIds.Share idShare() {
+            return idShare;
+        }
+
         void complete(byte[] message) {
             setAnswer(message);
             flush();
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -3,8 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
@@ -36,8 +34,6 @@
      * router may read it late.
      */
     private static final long MIN_SILENT_NANOS = Clock.millisToNanos(200);
-    /** Reserved request ids at most; they take a few megabytes. */
-    private static final int MAX_RESERVED_IDS = 16_384;
 
     private final RouterContext context;
     private final RoutingPolicy.Settings settings;
@@ -58,8 +54,7 @@
     private final Set<ClientConnection> silentClients = new LinkedHashSet<>();
     /** Clients without an unanswered command, the longest idle first; removed at the next command or when closed. */
     private final Set<ClientConnection> idleClients = new LinkedHashSet<>();
-    /** Ids of recent requests, and until when each is reserved: until then no ordinary client uses the id again. */
-    private final Map<String, Long> reservedUntil = new LinkedHashMap<>();
+    private final RequestIds requestIds = new RequestIds();
     private long lastRequestNumber;
     private boolean draining;
     /** Whether the router is about to end: what it still receives is refused at once. */
@@ -201,10 +196,7 @@
         while (!context.descriptors().hasRoomForTraffic() && freeDescriptor()) {
             continue; // until a descriptor is free, or none can be freed
         }
-        Iterator<Long> expiryTimes = reservedUntil.values().iterator();
-        while (expiryTimes.hasNext() && expiryTimes.next() <= now) {
-            expiryTimes.remove(); // oldest first: an id stays until all those reserved before it have expired
-        }
+        requestIds.expire(now);
     }
 
     /** Replaces the classifier; requests already classified are not classified again. */
@@ -254,28 +246,40 @@
         request.onEnd(onEnd);
         int classIndex = classIndexes.getOrDefault(statement.className(), -1);
         String error = classIndex < 0 ? "unknown class" : statement.timeoutMillis() == 0 ? "no time to answer in"
-            : !members.knowsGroup(statement.group()) ? "unknown cluster"
-            : reservedUntil.getOrDefault(statement.id(), Long.MIN_VALUE) > context.loop().now() ? "this id is in use" : null;
+            : !members.knowsGroup(statement.group()) ? "unknown cluster" : null;
         if (error != null) {
-            context.counters().add(Counters.Count.BAD_QUERIES);
-            request.answer(withReadyForQuery(MessageWriter.error(SqlState.SYNTAX_ERROR, error)));
+            reject(request, error);
             return request;
         }
+        switch (requestIds.reserve(statement.id(), isIdempotent(classIndex), deadline + answerSlackNanos, slot.idShare(),
+                context.loop().now())) {
+            case IN_USE -> {
+                reject(request, "this id is in use");
+                return request;
+            }
+            case NO_CAPACITY -> {
+                context.counters().add(Counters.Count.IDS_EXHAUSTED);
+                context.counters().add(Counters.Count.REFUSED);
+                request.answer(refusalMessage(0));
+                return request;
+            }
+            case RESERVED -> { }
+        }
         LOG.debug("event=request id={} number={} class={} group={} left_ms={}", statement.id(), request.number(),
             statement.className(), statement.group(), Clock.nanosToMillis(deadline - context.loop().now()));
-        reserveId(statement.id(), deadline + answerSlackNanos);
         requests.put(request.number(), request);
         request.setOverdueTimer(context.loop().runAt(deadline + answerSlackNanos, () -> failOverdue(request)));
         context.loop().postEvent(arrivalOf(request, classIndex));
         return request;
     }
 
-    private void reserveId(String id, long until) {
-        reservedUntil.remove(id);
-        reservedUntil.put(id, until);
-        if (reservedUntil.size() > MAX_RESERVED_IDS) {
-            reservedUntil.remove(reservedUntil.keySet().iterator().next());
-        }
+    private void reject(ClientRequest request, String error) {
+        context.counters().add(Counters.Count.BAD_QUERIES);
+        request.answer(withReadyForQuery(MessageWriter.error(SqlState.SYNTAX_ERROR, error)));
+    }
+
+    private boolean isIdempotent(int classIndex) {
+        return settings.classes().get(classIndex).retrySafety() == RoutingPolicy.RetrySafety.IDEMPOTENT;
     }
 
     private RoutingPolicy.Arrival arrivalOf(ClientRequest request, int classIndex) {
@@ -329,9 +333,6 @@
             return;
         }
         request.end();
-        if (request.attempts().isEmpty()) {
-            reservedUntil.remove(request.statement().id()); // the client may send it again on another connection
-        }
         context.counters().add(Counters.Count.LAPSED);
         logRequestEnd(request, "client_gone");
         context.loop().postEvent(new RoutingPolicy.Abandoned(request.number()));
@@ -349,8 +350,7 @@
         long remainingNanos = request.deadline() - now;
         long timeoutNanos = send.timeout() == 0 ? remainingNanos : Math.min(send.timeout(), remainingNanos);
         int classIndex = classIndexes.getOrDefault(request.statement().className(), 0);
-        boolean idempotent = settings.classes().get(classIndex).retrySafety() == RoutingPolicy.RetrySafety.IDEMPOTENT;
-        Attempt attempt = new Attempt(request, send.member(), now, timeoutNanos, idempotent, this);
+        Attempt attempt = new Attempt(request, send.member(), now, timeoutNanos, isIdempotent(classIndex), this);
         HostPool pool = members.pool(send.member());
         boolean forbiddenParallel = request.hasOpenAttempt() && !settings.limits().parallelAttempts();
         request.attempts().add(attempt);
@@ -427,8 +427,9 @@
     }
 
     private void removeIfComplete(ClientRequest request) {
-        if (request.isEnded() && !request.hasOpenAttempt()) {
-            requests.remove(request.number());
+        boolean complete = request.isEnded() && !request.hasOpenAttempt();
+        if (complete && requests.remove(request.number(), request) && request.attempts().isEmpty()) {
+            requestIds.release(request.statement().id()); // the client may send it again on another connection
         }
     }
 
@@ -445,12 +446,12 @@
     /** A summary of the open connections and requests, for the log. */
     String summary() {
         return clients.size() + " clients (" + silentClients.size() + " silent, " + idleClients.size() + " idle), "
-            + requests.size() + " requests in hand, " + reservedUntil.size() + " ids remembered";
+            + requests.size() + " requests in hand, " + requestIds.size() + " ids remembered";
     }
 
     /** The numbers of requests, clients and reserved ids, by which tests see that none are left over. */
     String sizes() {
-        return "requests " + requests.size() + ", clients " + clients.size() + ", ids " + reservedUntil.size();
+        return "requests " + requests.size() + ", clients " + clients.size() + ", ids " + requestIds.size();
     }
 
     /** Closes each connection once its commands are answered; new ones close after their first answer. */
