Close no client's connection over a request that is read, being read or in the kernel

Cause: a close looked only at reads that the loop had queued. The I/O thread could read on between the loop's decision and the close; an eviction, and the end of a planned stop, did not look at what the kernel holds; a connection that failed dropped the reads behind the one that failed it; Terminate dropped answers that were ready. Change: ReadGate makes reading and closing exclude one another; a close also asks the kernel for unread bytes, and goes on once they are answered. A failed connection reads nothing more, refuses what had been read, and only then ends. The last step of a stop reads nothing more, refuses what had been read, and writes the answers before it ends.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -95,6 +95,7 @@
     private final AtomicInteger queuedReads = new AtomicInteger();
     /** Commands in the reads that are queued for the event loop. */
     private final AtomicInteger commandsInQueuedReads = new AtomicInteger();
+    private final ReadGate readGate = new ReadGate();
     private final InputScheduler.Quota quota;
     private final RequestIds.Share idShare = new RequestIds.Share();
     /** Answers that are ready to be written, in order; written together at the end of a turn's commands. */
@@ -109,7 +110,8 @@
     /** Whether the close has to wait for what the client sent while the router had suspended reading. */
     private boolean readsPutOff;
     private boolean closesAfterNextAnswer;
-    private boolean failed;
+    /** The error with which the connection ends, or null. */
+    private String failure;
     private boolean processingQueue;
     private int pendingStatementBytes;
     /** Memory that the queued commands take. */
@@ -192,20 +194,28 @@
         processQueued();
     }
 
+    @Override
+    public ReadGate readGate() {
+        return readGate;
+    }
+
     @Override
     public Runnable receive(ByteBuffer bytes, long receivedAt, IoSession from) {
         ParsedRead read = parse(bytes, receivedAt);
         int commands = commandsInQueuedReads.addAndGet(read.messages().size());
-        if (queuedReads.incrementAndGet() >= MAX_QUEUED_READS || commands >= MAX_QUEUED_COMMANDS) {
+        if (queuedReads.incrementAndGet() >= MAX_QUEUED_READS || commands >= MAX_QUEUED_COMMANDS || read.violation() != null) {
             from.suspendRead(); // resumed by the event loop once it has processed enough reads
         }
+        readGate.delivered();
         return () -> {
             queuedReads.decrementAndGet();
             commandsInQueuedReads.addAndGet(-read.messages().size());
             processedReads++;
             process(read);
-            if (!closed && closing && isQuiescent()) {
-                closeOnFlush(); // the close waited for this read, which held no complete command
+            if (!closed && failure != null) {
+                closeWithFailure();
+            } else if (!closed && closing && isQuiescent()) {
+                closeIfAllIsRead(); // the close waited for this read, which held no complete command
             } else if (!closed) {
                 updateReading();
             }
@@ -236,7 +246,7 @@
     }
 
     private void process(ParsedRead read) {
-        if (closed || failed) {
+        if (closed) {
             return;
         }
         incompleteMessage.update(read.partialBytes(), !read.messages().isEmpty(), read.receivedAt());
@@ -246,6 +256,10 @@
             pendingStatementBytes += command.statementBytes();
             queuedBytes += command.heapBytes();
         }
+        if (failure != null) {
+            refuseQueuedCommands();
+            return;
+        }
         processQueued();
         if (queuedBytes > MAX_QUEUED_BYTES) {
             shedQueuedCommands();
@@ -339,7 +353,7 @@
         }
         boolean hasQueueCapacity = queuedReads.get() < MAX_QUEUED_READS;
         boolean takesCommands = queuedCommands.isEmpty() && hasCapacity() && (!closing || readsPutOff) && hasQueueCapacity;
-        boolean shouldRead = !inputEnded && (takesCommands || requestsInHand > 0 && hasQueueCapacity);
+        boolean shouldRead = !inputEnded && failure == null && (takesCommands || requestsInHand > 0 && hasQueueCapacity);
         if (takesCommands || clientTakesNoAnswers()) {
             incompleteMessage.resume(context.loop().now());
         } else {
@@ -398,7 +412,7 @@
                 respond(new byte[] {'N'});
             }
         } else if (message instanceof ClientMessage.CancelRequest || message instanceof ClientMessage.Terminate) {
-            close();
+            inputEnded(receivedAt);
         } else if (message instanceof ClientMessage.Sync) {
             skipsUntilSync = false;
             respond(MessageWriter.readyForQuery());
@@ -471,14 +485,22 @@
      * the client soon, however long attempts take.
      */
     private void failConnection(String reason) {
-        if (closed || failed) {
+        if (closed || failure != null) {
             return;
         }
         context.counters().add(Counters.Count.BAD_CLIENTS);
-        failed = true;
+        failure = reason;
+        readGate.close();
         abandonRequests(reason);
         refuseQueuedCommands();
-        closeWithError(reason);
+        closeWithFailure();
+    }
+
+    /** Ends a connection that has failed, once the requests that had been read by then are refused. */
+    private void closeWithFailure() {
+        if (queuedReads.get() == 0 && !readGate.isDelivering()) {
+            closeWithError(failure);
+        }
     }
 
     /** Ends the requests in hand, each with an error. */
@@ -580,7 +602,7 @@
         }
         if (!closed && answerSlots.isEmpty() && queuedCommands.isEmpty()) {
             if (closing && !readsPutOff && queuedReads.get() == 0) {
-                closeOnFlush();
+                closeIfAllIsRead();
             } else if (commandReceived && !closing) {
                 idleSince = context.loop().now();
                 requestHandler.connectionIdle(this);
@@ -617,7 +639,7 @@
     void closeWhenAnswered() {
         beginClosing();
         if (!closed && isQuiescent()) {
-            closeOnFlush();
+            closeIfAllIsRead();
         } else {
             processQueued();
         }
@@ -629,26 +651,60 @@
      */
     boolean closeIfQuiescent() {
         boolean answersTaken = unsentBytes == 0 || context.loop().now() >= idleSince + COMMAND_TIMEOUT_NANOS;
-        if (isQuiescent() && answersTaken) {
+        if (isQuiescent() && answersTaken && stopReadingIfAllIsRead()) {
             close();
         }
         return closed;
     }
 
+    /** Whether the kernel holds bytes that the client has sent. */
+    boolean hasUnreadBytes() {
+        return Transport.hasUnreadBytes(session);
+    }
+
+    /** Closes the connection unless the client has sent something that has not been read; then once that is answered. */
+    private void closeIfAllIsRead() {
+        if (stopReadingIfAllIsRead()) {
+            closeOnFlush();
+        } else {
+            readsPutOff = true;
+            updateReading();
+        }
+    }
+
+    /** Has the I/O thread read nothing more; returns false, and lets it read on, if the client has sent something meanwhile. */
+    private boolean stopReadingIfAllIsRead() {
+        return !hasUnreadBytes() && readGate.closeIf(() -> queuedReads.get() == 0);
+    }
+
     /** Closes the connection after the next request that is answered on it. */
     void closeAfterNextAnswer() {
         closesAfterNextAnswer = true;
     }
 
     private void closeOnFlush() {
+        readGate.close();
         writeAnswers();
         session.closeOnFlush();
         handleClosed();
     }
 
+    /** Reads nothing more: what has been read is answered, the rest is left to be sent again on another connection. */
+    void stopReading() {
+        readGate.close();
+    }
+
+    /** Closes the connection once its answers are written; requests that have none yet are abandoned. */
+    void closeAfterAnswers() {
+        if (!closed) {
+            closeOnFlush();
+        }
+    }
+
     /** Closes the connection at once, without writing what is pending. */
     void close() {
         if (!closed) {
+            readGate.close();
             session.closeNow();
             handleClosed();
         }
--- a/router/src/main/java/ledgewall/net/DrainBeforeResetProcessor.java
+++ b/router/src/main/java/ledgewall/net/DrainBeforeResetProcessor.java
@@ -11,7 +11,7 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * An I/O processor that differs from MINA's in four ways. It delivers the data received before a reset: MINA reads a
+ * An I/O processor that differs from MINA's in five ways. It reads nothing from a connection whose {@link ReadGate} is closed. It delivers the data received before a reset: MINA reads a
  * socket until nothing is left, and if a reset occurs there it discards what the same pass has read, so that a complete
  * answer would be treated as a broken one. It suspends and resumes reads on its own thread and leaves write interest
  * unchanged: MINA changes both from the caller's thread, in a race with its own, and loses a partial write, so that
@@ -25,6 +25,9 @@
     private static final long MAX_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final long POLL_INTERVAL_NANOS = TimeUnit.MICROSECONDS.toNanos(100);
 
+    /** The session's attribute that holds its {@link ReadGate}, if it has one. */
+    static final String READ_GATE_ATTRIBUTE = "ledgewall.read-gate";
+
     private final Queue<NioSession> readInterestChanges = new ConcurrentLinkedQueue<>();
     private final Runnable onSelectPass;
     private final Queue<PassTask> passTasks = new ConcurrentLinkedQueue<>();
@@ -41,6 +44,11 @@
 
     @Override
     protected int read(NioSession session, IoBuffer buffer) throws Exception {
+        ReadGate gate = (ReadGate) session.getAttribute(READ_GATE_ATTRIBUTE);
+        return gate == null ? readSocket(session, buffer) : gate.read(() -> readSocket(session, buffer));
+    }
+
+    private int readSocket(NioSession session, IoBuffer buffer) throws Exception {
         try {
             return super.read(session, buffer);
         } catch (IOException e) {
--- a/router/src/main/java/ledgewall/net/Endpoint.java
+++ b/router/src/main/java/ledgewall/net/Endpoint.java
@@ -22,4 +22,9 @@
 
     /** Called on the event loop: the connection is closed. */
     void disconnected(long at);
+
+    /** What keeps the I/O thread from reading once the connection is to be closed, or null. */
+    default ReadGate readGate() {
+        return null;
+    }
 }
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -474,8 +474,13 @@
         return !clients.isEmpty() || !refusedClients.isEmpty();
     }
 
+    /** Reads nothing more from clients: what they send from now on is left to be sent again elsewhere. */
+    void stopReading() {
+        openConnections().forEach(ClientConnection::stopReading);
+    }
+
     void closeClients() {
-        openConnections().forEach(ClientConnection::close);
+        openConnections().forEach(ClientConnection::closeAfterAnswers);
     }
 
     /** A copy of all open connections: those served and those turned away. */
--- a/router/src/main/java/ledgewall/net/Router.java
+++ b/router/src/main/java/ledgewall/net/Router.java
@@ -251,10 +251,16 @@
     /** Time allowed for the kernel to accept the last answers, and the interval at which a drain checks for open clients. */
     private static final long FLUSH_NANOS = Clock.millisToNanos(10);
 
+    /** Ends the router in steps: what had been read by now is refused, and the answers are written. */
     private void shutDown() {
-        dispatcher.closeClients();
-        loop.stop();
-        new Thread(this::close, "ledgewall-close").start();
+        dispatcher.stopReading();
+        loop.runAfter(FLUSH_NANOS, () -> {
+            dispatcher.closeClients();
+            loop.runAfter(FLUSH_NANOS, () -> {
+                loop.stop();
+                new Thread(this::close, "ledgewall-close").start();
+            });
+        });
     }
 
     /** Waits until the router is closed. */
--- a/router/src/main/java/ledgewall/net/Transport.java
+++ b/router/src/main/java/ledgewall/net/Transport.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -13,6 +14,7 @@
 import org.apache.mina.core.session.IoSession;
 import org.apache.mina.core.session.IoSessionConfig;
 import org.apache.mina.transport.socket.SocketSessionConfig;
+import org.apache.mina.transport.socket.nio.NioSession;
 import org.apache.mina.transport.socket.nio.NioSocketConnector;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -115,6 +117,18 @@
         session.write(IoBuffer.wrap(bytes));
     }
 
+    /** Whether the kernel holds bytes of the connection that have not been read. */
+    static boolean hasUnreadBytes(IoSession session) {
+        if (!(session instanceof NioSession nioSession) || !(nioSession.getChannel() instanceof SocketChannel channel)) {
+            return false;
+        }
+        try {
+            return channel.socket().getInputStream().available() > 0;
+        } catch (IOException e) {
+            return false; // closed already
+        }
+    }
+
     /** Waits until everything received so far has been read and queued for the event loop. */
     void awaitPendingReads() {
         processor.awaitPendingReads();
@@ -148,7 +162,9 @@
         public void sessionCreated(IoSession session) {
             openSockets.incrementAndGet();
             if (endpointFactory != null) {
-                session.setAttribute(ENDPOINT_ATTRIBUTE, endpointFactory.get());
+                Endpoint endpoint = endpointFactory.get();
+                session.setAttribute(ENDPOINT_ATTRIBUTE, endpoint);
+                session.setAttribute(DrainBeforeResetProcessor.READ_GATE_ATTRIBUTE, endpoint.readGate());
             }
         }
 
--- a/router/src/test/java/ledgewall/net/ConnectionEvictionTest.java
+++ b/router/src/test/java/ledgewall/net/ConnectionEvictionTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Arrays;
 import ledgewall.standin.Wire;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -87,4 +88,18 @@
         connection.written(answer.length);
         assertTrue(connection.closeIfQuiescent());
     }
+
+    /** Guards against requests that are dropped because an earlier read has failed the connection. */
+    @Test
+    void requestsInReadsBehindTheOneThatFailsTheConnectionAreRefused() {
+        byte[][] invalid = new byte[8][];
+        Arrays.fill(invalid, Wire.query("nonsense"));
+        Runnable failing = fixture.read(Wire.join(invalid));
+        Runnable behind = fixture.read(RouterHarness.lookQuery("1"));
+        failing.run();
+        assertFalse(handler.isClosed());
+        behind.run();
+        assertEquals(1, handler.refusedCount());
+        assertTrue(handler.isClosed());
+    }
 }
