Keep no field of a routing comment that is not used again

A request of 1.9 KB with some 400 short fields took 55.9 KB of the heap while it waited, eleven times one with a single long field (4.9 KB), and only its bytes were counted. Cause: parsed form kept for the sake of one field, 'd', which is rewritten. Change: a statement keeps the position of 'd' alone; the classifier's view of the fields is made from the bytes when it is asked for. Measured: StatementTest's new case failed before with the figures above (1,000 statements, heap after a collection) and passes with less than 1.5 times.

--- a/router/src/main/java/ledgewall/pg/Statement.java
+++ b/router/src/main/java/ledgewall/pg/Statement.java
@@ -22,9 +22,8 @@
     private static final long FNV_PRIME = 0x100000001b3L;
 
     private final byte[] frame;
-    private final Map<String, Field> fields;
-    /** The fields of an incomplete routing comment, for the classifier; else empty. */
-    private final Map<String, String> partialComment;
+    /** The field {@code d}, or null: of the other fields only the values are kept, since a client may send hundreds of them. */
+    private final Field timeout;
     private final String id;
     private final String className;
     private final String tenant;
@@ -50,23 +49,21 @@
 
     private Statement(byte[] frame, Map<String, Field> fields, int sqlStart) throws MalformedException {
         this.frame = frame;
-        this.fields = fields;
-        this.partialComment = Map.of();
-        this.id = printableName("id", required("id"));
-        this.className = printableName("c", required("c"));
+        this.timeout = required("d", fields);
+        this.id = printableName("id", required("id", fields));
+        this.className = printableName("c", required("c", fields));
         this.tenant = fields.containsKey("t") ? printableName("t", fields.get("t")) : "";
         this.isRetry = fields.containsKey("r") && fields.get("r").value().equals("1");
         this.summary = null;
-        this.timeoutMillis = number("d", required("d"));
-        this.group = number("cluster", required("cluster"));
+        this.timeoutMillis = number("d", timeout);
+        this.group = number("cluster", required("cluster", fields));
         this.lastWriteMillis = fields.containsKey("after") ? number("after", fields.get("after")) : 0;
         this.sessionKey = SqlScanner.scan(frame, sqlStart, frame.length - 1, Statement::hash);
     }
 
     private Statement(Statement other, SqlSummary summary, String id, Classification classification) {
         this.frame = other.frame;
-        this.fields = other.fields;
-        this.partialComment = other.partialComment;
+        this.timeout = other.timeout;
         this.summary = summary;
         this.id = id;
         this.className = classification.className();
@@ -79,10 +76,9 @@
     }
 
     /** A statement that still has to be classified. */
-    private Statement(byte[] frame, Map<String, String> partialComment, SqlSummary summary) {
+    private Statement(byte[] frame, SqlSummary summary) {
         this.frame = frame;
-        this.fields = Map.of(); // so that withTimeout rewrites nothing
-        this.partialComment = partialComment;
+        this.timeout = null; // so that withTimeout rewrites nothing
         this.summary = summary;
         this.id = "";
         this.className = "";
@@ -102,7 +98,7 @@
             return new Statement(complete, summary, complete.id, new Classification(complete.className,
                 complete.tenant, complete.group, null, complete.timeoutMillis, complete.isRetry));
         } catch (MalformedException e) {
-            return new Statement(frame, commentValues(frame), summary);
+            return new Statement(frame, summary);
         }
     }
 
@@ -131,11 +127,9 @@
         }
     }
 
-    /** The names and values of the fields in its comment. */
+    /** The names and values of the fields in its comment, even if it is incomplete. */
     public Map<String, String> commentFields() {
-        Map<String, String> values = new HashMap<>(partialComment);
-        fields.forEach((name, field) -> values.put(name, field.value()));
-        return values;
+        return commentValues(frame);
     }
 
     /** Its SQL text with the comment, decoded as UTF-8. */
@@ -211,7 +205,7 @@
         }
     }
 
-    private Field required(String name) throws MalformedException {
+    private static Field required(String name, Map<String, Field> fields) throws MalformedException {
         Field field = fields.get(name);
         if (field == null || field.value().isEmpty()) {
             throw new MalformedException("the comment lacks '" + name + "'");
@@ -282,7 +276,6 @@
 
     /** The whole message with another value of {@code d}, if it has that field; all other bytes stay as received. */
     public byte[] withTimeout(long millis) {
-        Field timeout = fields.get("d");
         if (timeout == null) {
             return frame;
         }
--- a/router/src/test/java/ledgewall/pg/StatementTest.java
+++ b/router/src/test/java/ledgewall/pg/StatementTest.java
@@ -79,6 +79,34 @@
         assertEquals(480, parse("/* " + FIELDS + " */ SELECT ';' ; -- ; end\n /* ; */ ").timeoutMillis());
     }
 
+    /** Guards against memory that grows with the number of a comment's fields, beyond its bytes. */
+    @Test
+    void takesNoMoreMemoryForManyShortFieldsThanForFewLongOnes() throws Statement.MalformedException {
+        StringBuilder fields = new StringBuilder(FIELDS);
+        for (int i = 0; fields.length() < 1_900; i++) {
+            fields.append(",f").append(Integer.toString(i, Character.MAX_RADIX)).append('=');
+        }
+        long many = retainedBytes("/* " + fields + " */ SELECT 1");
+        long few = retainedBytes("/* " + FIELDS + ",f=" + "x".repeat(fields.length() - FIELDS.length() - 3) + " */ SELECT 1");
+        assertTrue(many < 1.5 * few, many + " bytes, not " + few);
+    }
+
+    private static long retainedBytes(String sql) throws Statement.MalformedException {
+        Statement[] statements = new Statement[1_000];
+        long before = usedMemory();
+        for (int i = 0; i < statements.length; i++) {
+            statements[i] = parse(sql);
+        }
+        long retained = usedMemory() - before;
+        assertEquals("basket", statements[statements.length - 1].className());
+        return retained;
+    }
+
+    private static long usedMemory() {
+        System.gc();
+        return Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory();
+    }
+
     @Test
     void recognizesEmptyQueries() throws ProtocolException {
         for (String sql : new String[] {"", " ", ";", " ; ;\n"}) {
