Count what clients take of the heap, not the bytes that they have sent

Found by reading and counting: the limit of 16 MiB for clients counted bytes as received. A queued Sync of 5 bytes takes some 60, a short request some 500 queued and 2,000 in hand; the buffer of an incomplete message is up to twice its bytes; answers that wait behind an unanswered command were not counted at all (64 of 64 KiB for each client). Change: BufferedBytes is told the size of the read buffer, of queued commands, requests in hand and waiting answers as they take of the heap. Measured: ConnectionBacklogTest's new case, 1,000 queued Syncs counted as over 40 bytes each (5 KB in all before).

--- a/router/src/main/java/ledgewall/net/BufferedBytes.java
+++ b/router/src/main/java/ledgewall/net/BufferedBytes.java
@@ -4,9 +4,9 @@
 import java.util.Map;
 
 /**
- * The bytes that are buffered for clients: partial messages, statements of unanswered requests, unsent answers. If their
- * total exceeds a maximum, the connection with the most has to free its part, so that neither slow clients nor requests that
- * wait can exhaust the heap.
+ * The memory that is taken for clients: buffers of partial messages, queued commands, unanswered requests, unsent answers, each
+ * as much as it takes of the heap, which for short messages is many times their bytes. If their total exceeds a maximum, the
+ * connection with the most has to free its part, so that neither slow clients nor requests that wait can exhaust the heap.
  */
 final class BufferedBytes {
     /** Maximum total; leaves enough of the heap that the `run` script sets for hosts' answers and everything else. */
--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -25,6 +25,9 @@
     private static final int MAX_PIPELINED_COMMANDS = 64;
     /** Memory for queued commands, in bytes as {@link QueuedCommand#heapBytes()} counts them, at which they are refused. */
     private static final int MAX_QUEUED_BYTES = 512 * 1024;
+    /** What a submitted request takes of the heap beside its bytes: its fields, its timer, its attempts, the policy's state. */
+    private static final int REQUEST_BYTES = 1_536;
+    private static final int ANSWER_SLOT_BYTES = 48;
     /** Answers that wait for an earlier command's at which that command's request, and all others, are given up. */
     private static final int MAX_WAITING_ANSWERS = 4_096;
 
@@ -113,15 +116,19 @@
     /** The error with which the connection ends, or null. */
     private String failure;
     private boolean processingQueue;
-    private int pendingStatementBytes;
+    /** Size of the statements whose answers have not been written. */
+    private int statementBytesInHand;
     /** Memory that the queued commands take. */
     private int queuedBytes;
+    private int readBufferSize;
     /** Submitted requests without an answer. */
     private int requestsInHand;
     /** Whether the client has ended its sending. */
     private boolean inputEnded;
     /** Whether a close waits for a pass of the I/O thread, by {@link #closeOnceAllIsRead}. */
     private boolean awaitingReads;
+    /** Size of the answers that wait for an earlier command's. */
+    private int waitingAnswerBytes;
     private int unsentBytes;
     private boolean commandReceived;
     private int invalidCommands;
@@ -137,13 +144,9 @@
         /** A statement's fields and names beside its bytes. */
         private static final int STATEMENT_BYTES = 320;
 
-        int statementBytes() {
-            return message instanceof ClientMessage.Query query ? query.statement().size() : 0;
-        }
-
         /** About how much of the heap it takes. */
         int heapBytes() {
-            return COMMAND_BYTES + (message instanceof ClientMessage.Query ? STATEMENT_BYTES + statementBytes() : 0);
+            return COMMAND_BYTES + (message instanceof ClientMessage.Query query ? STATEMENT_BYTES + query.statement().size() : 0);
         }
     }
 
@@ -168,6 +171,7 @@
 
         private void setAnswer(byte[] message) {
             answer = message;
+            waitingAnswerBytes += message.length;
             if (inHand) {
                 inHand = false;
                 requestsInHand--;
@@ -223,10 +227,11 @@
     }
 
     /**
-     * What a read holds: the messages that it completes, how many bytes of the one after them, and the reason for which the
-     * bytes behind them cannot be parsed, or null.
+     * What a read holds: the messages that it completes, how many bytes of the one after them, the size of the buffer for it, and
+     * the reason for which the bytes behind them cannot be parsed, or null.
      */
-    private record ParsedRead(List<ClientMessage> messages, int partialBytes, String violation, long receivedAt) { }
+    private record ParsedRead(List<ClientMessage> messages, int partialBytes, int bufferSize, String violation,
+                              long receivedAt) { }
 
     private ParsedRead parse(ByteBuffer bytes, long receivedAt) {
         List<ClientMessage> messages = new ArrayList<>();
@@ -240,20 +245,20 @@
                 }
             }
         } catch (ProtocolException e) {
-            return new ParsedRead(messages, 0, e.getMessage(), receivedAt);
+            return new ParsedRead(messages, 0, frameReader.capacity(), e.getMessage(), receivedAt);
         }
-        return new ParsedRead(messages, frameReader.bufferedBytes(), null, receivedAt);
+        return new ParsedRead(messages, frameReader.bufferedBytes(), frameReader.capacity(), null, receivedAt);
     }
 
     private void process(ParsedRead read) {
         if (closed) {
             return;
         }
+        readBufferSize = read.bufferSize();
         incompleteMessage.update(read.partialBytes(), !read.messages().isEmpty(), read.receivedAt());
         for (ClientMessage message : read.messages()) {
             QueuedCommand command = new QueuedCommand(message, read.receivedAt());
             queuedCommands.add(command);
-            pendingStatementBytes += command.statementBytes();
             queuedBytes += command.heapBytes();
         }
         if (failure != null) {
@@ -297,7 +302,6 @@
 
     private QueuedCommand pollQueuedCommand() {
         QueuedCommand command = queuedCommands.poll();
-        pendingStatementBytes -= command.statementBytes();
         queuedBytes -= command.heapBytes();
         return command;
     }
@@ -458,7 +462,7 @@
             return;
         }
         slot.statementBytes = statement.size();
-        pendingStatementBytes += slot.statementBytes;
+        statementBytesInHand += slot.statementBytes;
         slot.inHand = true;
         requestsInHand++;
         slot.request = requestHandler.submit(statement, slot, receivedAt, client);
@@ -590,7 +594,8 @@
     private void flush() {
         while (!closed && !answerSlots.isEmpty() && answerSlots.peekFirst().answer != null) {
             AnswerSlot slot = answerSlots.pollFirst();
-            pendingStatementBytes -= slot.statementBytes;
+            statementBytesInHand -= slot.statementBytes;
+            waitingAnswerBytes -= slot.answer.length;
             unsentBytes += slot.answer.length;
             unwrittenAnswers.add(slot.answer);
             if (closesAfterNextAnswer && (slot.request != null || slot.refused)) {
@@ -620,10 +625,11 @@
         return unsentBytes >= MAX_MESSAGE_BYTES;
     }
 
-    /** Updates the count of the bytes that are buffered for this client. */
+    /** Updates the count of the memory that is taken for this client. */
     private void updateBufferedBytes() {
         if (!closed) {
-            context.bufferedBytes().set(this, incompleteMessage.bytes() + pendingStatementBytes + unsentBytes);
+            context.bufferedBytes().set(this, readBufferSize + queuedBytes + statementBytesInHand
+                + requestsInHand * REQUEST_BYTES + answerSlots.size() * ANSWER_SLOT_BYTES + waitingAnswerBytes + unsentBytes);
         }
     }
 
@@ -715,7 +721,7 @@
      * of hosts, are answered at once. It is closed only if it holds none, so that its client reads or writes too slowly.
      */
     void shedBufferedBytes() {
-        if (pendingStatementBytes == 0) {
+        if (requestsInHand == 0 && queuedCommands.stream().noneMatch(command -> command.message() instanceof ClientMessage.Query)) {
             context.counters().add(Counters.Count.CUT_OFF);
             close();
             return;
--- a/router/src/main/java/ledgewall/pg/FrameReader.java
+++ b/router/src/main/java/ledgewall/pg/FrameReader.java
@@ -71,6 +71,11 @@
         return buffered;
     }
 
+    /** The size of the buffer for incomplete messages, which grows with what has been received, by up to a factor of two. */
+    public int capacity() {
+        return buffer.length;
+    }
+
     private int messageSize(int headerSize) throws ProtocolException {
         int length = ByteBuffer.wrap(buffer, headerSize - Frame.LENGTH_BYTES, Frame.LENGTH_BYTES).getInt();
         if (length < Frame.LENGTH_BYTES || length > (hasTypeByte ? maxLength : MAX_STARTUP_BYTES)) {
--- a/router/src/test/java/ledgewall/net/ConnectionBacklogTest.java
+++ b/router/src/test/java/ledgewall/net/ConnectionBacklogTest.java
@@ -87,6 +87,21 @@
         assertFalse(handler.isClosed());
     }
 
+    /** Guards against memory that nobody counts: short commands, and answers behind an unanswered one, take more than bytes sent. */
+    @Test
+    void memoryOfQueuedCommandsAndWaitingAnswersIsCounted() {
+        long before = fixture.countedMemory();
+        fixture.read(queries(IN_HAND)).run();
+        answer(1, IN_HAND);
+        int answerBytes = Wire.row(new byte[] {1}).length;
+        assertTrue(fixture.countedMemory() - before >= (IN_HAND - 1) * answerBytes);
+        before = fixture.countedMemory();
+        byte[][] syncs = new byte[1_000][];
+        Arrays.fill(syncs, Wire.message('S'));
+        fixture.read(Wire.join(syncs)).run();
+        assertTrue(fixture.countedMemory() - before >= 40 * syncs.length, "" + (fixture.countedMemory() - before));
+    }
+
     @Test
     void endOfInputAbandonsTheRequestsInHandAndRefusesTheQueuedOnes() {
         fixture.read(queries(SENT)).run();
--- a/router/src/test/java/ledgewall/net/ConnectionFixture.java
+++ b/router/src/test/java/ledgewall/net/ConnectionFixture.java
@@ -45,6 +45,11 @@
         return clock.now();
     }
 
+    /** The memory that the router counts for the connection. */
+    long countedMemory() {
+        return context.bufferedBytes().totalBytes();
+    }
+
     boolean isReadSuspended() {
         return session.isReadSuspended();
     }
