Keep the event loop alive when a task runs out of memory

Change: such an error ends its task only, counted in failed_tasks; a connection whose bytes could not be parsed for want of memory is closed; if the I/O thread itself ends, the router ends, so that it is restarted, instead of living on deaf. The end of the I/O thread was not tested.

--- a/router/src/main/java/ledgewall/net/EventLoop.java
+++ b/router/src/main/java/ledgewall/net/EventLoop.java
@@ -149,6 +149,9 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
+            } catch (VirtualMachineError e) {
+                counters.add(Counters.Count.FAILED_TASKS);
+                logFailure(e);
             }
         }
     }
@@ -257,12 +260,24 @@
         });
     }
 
-    /** Runs a task; an exception ends that task only. */
+    /**
+     * Runs a task; an exception ends that task only. So does an error such as running out of memory: the task's objects are
+     * garbage then, and a router without its event loop would answer nobody.
+     */
     private void runGuarded(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            LOG.error("a task of the loop failed", e);
+        } catch (RuntimeException | VirtualMachineError e) {
+            counters.add(Counters.Count.FAILED_TASKS);
+            logFailure(e);
+        }
+    }
+
+    private static void logFailure(Throwable failure) {
+        try {
+            LOG.error("a task of the loop failed", failure);
+        } catch (VirtualMachineError e) {
+            // there is no memory for the log line either; the counter tells
         }
     }
 }
--- a/router/src/main/java/ledgewall/net/Router.java
+++ b/router/src/main/java/ledgewall/net/Router.java
@@ -54,6 +54,7 @@
         this.discovery = new Discovery(context, config, members, checks);
         this.peers = new Peers(context, config);
         loop.setInputReader(transport::awaitPendingReads);
+        transport.onIoFailure(() -> new Thread(this::close, "ledgewall-close").start());
         transport.onAcceptBlocked(dispatcher::freeDescriptorForPendingClient);
         loop.setPolicy(factory.create(config.settings(), config.seed()), this::execute);
     }
--- a/router/src/main/java/ledgewall/net/Transport.java
+++ b/router/src/main/java/ledgewall/net/Transport.java
@@ -34,8 +34,8 @@
 
     private final Clock clock;
     private final EventLoop loop;
-    private final ExecutorService ioExecutor = Executors.newSingleThreadExecutor(
-        task -> new Thread(task, "ledgewall-io"));
+    private final Counters counters;
+    private final ExecutorService ioExecutor = Executors.newSingleThreadExecutor(this::newIoThread);
     private final DrainBeforeResetProcessor processor;
     private final NioSocketConnector connector;
     /** Sockets that are open, including those that the event loop does not track yet or no longer tracks. */
@@ -44,6 +44,7 @@
     /** Whether {@link #acceptBlockedTask} is queued for the event loop and has not run yet. */
     private final AtomicBoolean acceptBlockedPending = new AtomicBoolean();
     private volatile Runnable acceptBlockedTask = () -> { };
+    private volatile Runnable ioFailureTask = () -> { };
 
     /** Accepts connections only while fewer than {@code maxOpenSockets} sockets are open. */
     Transport(Clock clock, EventLoop loop, Counters counters, int maxOpenSockets) {
@@ -58,6 +59,7 @@
             });
         this.clock = clock;
         this.loop = loop;
+        this.counters = counters;
         connector.setHandler(new Handler(null));
         configure(connector.getSessionConfig(), MAX_READ_BYTES);
         configure(acceptor.getSessionConfig(), MAX_CLIENT_READ_BYTES);
@@ -77,6 +79,20 @@
         acceptBlockedTask = task;
     }
 
+    /** Sets the task to run if the I/O thread ends with an error: nothing is read or written any more. */
+    void onIoFailure(Runnable task) {
+        ioFailureTask = task;
+    }
+
+    private Thread newIoThread(Runnable task) {
+        Thread thread = new Thread(task, "ledgewall-io");
+        thread.setUncaughtExceptionHandler((ended, error) -> {
+            LOG.error("event=io_thread_ended: the router ends, as it can neither read nor write", error);
+            ioFailureTask.run();
+        });
+        return thread;
+    }
+
     private void notifyAcceptBlocked() {
         if (acceptBlockedPending.compareAndSet(false, true)) {
             loop.post(() -> {
@@ -176,7 +192,12 @@
 
         @Override
         public void messageReceived(IoSession session, Object message) {
-            loop.post(endpointOf(session).receive(((IoBuffer) message).buf(), clock.now(), session));
+            try {
+                loop.post(endpointOf(session).receive(((IoBuffer) message).buf(), clock.now(), session));
+            } catch (OutOfMemoryError e) {
+                counters.add(Counters.Count.FAILED_TASKS);
+                session.closeNow(); // what was read of it is lost, and with it the place in the stream
+            }
         }
 
         @Override
