Bound what datagrams from peers and strangers take

Datagrams waited for the event loop without a bound, and each remote address that had sent one, strangers included, had a session of the transport for a minute. Change: at most 256 datagrams wait, the others are dropped as the network may drop them (counter peer_messages_dropped); strangers are told apart on the receiving thread, and leave no session.

--- a/router/src/main/java/ledgewall/net/Peers.java
+++ b/router/src/main/java/ledgewall/net/Peers.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import ledgewall.RoutingPolicy;
 import org.apache.mina.core.buffer.IoBuffer;
 import org.apache.mina.core.service.IoHandlerAdapter;
@@ -16,6 +17,11 @@
 final class Peers {
     /** The largest datagram that routers may exchange. */
     private static final int MAX_DATAGRAM_BYTES = 256;
+    /**
+     * Datagrams that may wait for the event loop; those beyond are dropped, as on the network. Many more than a hundred routers
+     * send while a turn lasts.
+     */
+    private static final int MAX_QUEUED_DATAGRAMS = 256;
     /** Larger than a valid datagram, so that one that is too long can be recognised. */
     private static final int READ_BUFFER_BYTES = 512;
 
@@ -24,6 +30,7 @@
     private final InetSocketAddress allPeersAddress;
     private final InetSocketAddress listenAddress;
     private final Map<SocketAddress, Integer> peerIndexes = new HashMap<>();
+    private final AtomicInteger queuedDatagrams = new AtomicInteger();
     private NioDatagramAcceptor acceptor;
 
     Peers(RouterContext context, RouterConfig config) {
@@ -67,12 +74,13 @@
         }
     }
 
-    private void receive(SocketAddress from, byte[] content) {
-        Integer peerIndex = peerIndexes.get(from);
-        if (peerIndex == null || content.length > MAX_DATAGRAM_BYTES) {
-            context.counters().add(Counters.Count.BAD_PEER_MESSAGES);
-            return;
-        }
+    /** The number of remote addresses for which the transport keeps state. */
+    int sessionCount() {
+        return acceptor == null ? 0 : acceptor.getManagedSessionCount();
+    }
+
+    private void receive(int peerIndex, byte[] content) {
+        queuedDatagrams.decrementAndGet();
         context.counters().add(Counters.Count.PEER_MESSAGES_IN);
         context.loop().postEvent(new RoutingPolicy.PeerMessage(peerIndex, content));
     }
@@ -81,10 +89,22 @@
         @Override
         public void messageReceived(IoSession session, Object message) {
             IoBuffer buffer = (IoBuffer) message;
+            Integer peerIndex = peerIndexes.get(session.getRemoteAddress());
+            if (peerIndex == null) {
+                session.closeNow(); // a stranger may use thousands of ports, each of which would have a session for a minute
+            }
+            if (peerIndex == null || buffer.remaining() > MAX_DATAGRAM_BYTES) {
+                context.counters().add(Counters.Count.BAD_PEER_MESSAGES);
+                return;
+            }
+            if (queuedDatagrams.get() >= MAX_QUEUED_DATAGRAMS) {
+                context.counters().add(Counters.Count.PEER_MESSAGES_DROPPED);
+                return;
+            }
+            queuedDatagrams.incrementAndGet(); // after the check, as only this thread adds
             byte[] content = new byte[buffer.remaining()];
             buffer.get(content);
-            SocketAddress from = session.getRemoteAddress();
-            context.loop().post(() -> receive(from, content));
+            context.loop().post(() -> receive(peerIndex, content));
         }
 
         @Override
--- a/router/src/main/java/ledgewall/net/Router.java
+++ b/router/src/main/java/ledgewall/net/Router.java
@@ -112,6 +112,11 @@
         return peers.boundAddress();
     }
 
+    /** The number of remote addresses of datagrams for which state is kept. */
+    int peerSessionCount() {
+        return peers.sessionCount();
+    }
+
     /** All counters, on one line. */
     public String counters() {
         return counters.toString();
--- a/router/src/test/java/ledgewall/net/PeersTest.java
+++ b/router/src/test/java/ledgewall/net/PeersTest.java
@@ -2,18 +2,25 @@
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import ledgewall.RoutingPolicy;
 import ledgewall.RoutingPolicy.PeerMessage;
 import ledgewall.standin.ScriptedPolicy;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 @Timeout(60)
 class PeersTest {
@@ -63,4 +70,52 @@
             assertEquals(2, harness.router().counts().of(Counters.Count.PEER_MESSAGES_OUT));
         }
     }
+
+    /** Guards against memory in proportion to the addresses from which strangers send. */
+    @ParameterizedTest
+    @ValueSource(ints = {20, 500})
+    void datagramsOfStrangersLeaveNoState(int strangers) throws IOException {
+        harness.peers("\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:1\"],\"peers_all\":\"127.0.0.1:2\",").start(policy);
+        for (int i = 0; i < strangers; i++) {
+            try (DatagramSocket stranger = openSocket()) {
+                stranger.send(new DatagramPacket(new byte[] {9}, 1, harness.router().peerAddress()));
+            }
+        }
+        while (harness.router().counts().of(Counters.Count.BAD_PEER_MESSAGES) < strangers / 2) {
+            Thread.onSpinWait(); // the kernel may drop datagrams; the test's timeout ends the loop
+        }
+        while (harness.router().peerSessionCount() > 1) {
+            Thread.onSpinWait(); // the last one's session is closed while this test looks
+        }
+    }
+
+    /** Guards against a queue in proportion to what a peer sends while the event loop is busy. */
+    @ParameterizedTest
+    @ValueSource(ints = {1_000, 4_000})
+    void datagramsBeyondWhatMayWaitForTheEventLoopAreDropped(int datagrams) throws IOException, InterruptedException {
+        CountDownLatch loopBlocked = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        AtomicInteger received = new AtomicInteger();
+        ScriptedPolicy blocking = new ScriptedPolicy(event -> {
+            if (event instanceof PeerMessage && received.incrementAndGet() == 1) {
+                loopBlocked.countDown();
+                AttemptOutcomeTest.await(release);
+            }
+            return List.of();
+        });
+        try (DatagramSocket peer = openSocket()) {
+            harness.peers("\"peer_listen\":\"127.0.0.1:0\",\"peers\":[\"127.0.0.1:1\",\"" + address(peer)
+                + "\"],\"peers_all\":\"127.0.0.1:2\",").start(blocking);
+            DatagramPacket packet = new DatagramPacket(new byte[] {7}, 1, harness.router().peerAddress());
+            peer.send(packet);
+            assertTrue(loopBlocked.await(20, TimeUnit.SECONDS));
+            while (harness.router().counts().of(Counters.Count.PEER_MESSAGES_DROPPED) < datagrams - 400) {
+                peer.send(packet);
+            }
+            release.countDown();
+            harness.router().sizes(); // in the turn whose end passes the queued messages to the policy
+            harness.router().sizes();
+            assertTrue(received.get() <= 260, "" + received.get());
+        }
+    }
 }
