Ask the kernel for unread bytes before a client is failed as silent

Cause: only reads that the loop had queued were looked at. Change: a client that seems silent, or stuck within a message, is not failed while the kernel holds bytes of it; they are read soon. Measured: CloseOverUnreadBytesTest's new case failed before (1 silent client counted) and passes.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -573,8 +573,9 @@
         if (closed || incompleteMessage.isPaused() || queuedReads.get() > 0) {
             return;
         }
-        if (!commandReceived && now >= openedAt + COMMAND_TIMEOUT_NANOS
-                || incompleteMessage.isOverdue(now, COMMAND_TIMEOUT_NANOS)) {
+        boolean overdue = !commandReceived && now >= openedAt + COMMAND_TIMEOUT_NANOS
+            || incompleteMessage.isOverdue(now, COMMAND_TIMEOUT_NANOS);
+        if (overdue && !hasUnreadBytes()) {
             context.counters().add(Counters.Count.SILENT_CLIENTS);
             failConnection("no whole request in time");
         }
--- a/router/src/test/java/ledgewall/net/CloseOverUnreadBytesTest.java
+++ b/router/src/test/java/ledgewall/net/CloseOverUnreadBytesTest.java
@@ -26,6 +26,8 @@
 @Timeout(60)
 class CloseOverUnreadBytesTest {
     private static final int DESCRIPTORS = 100;
+    /** Longer than a client may take to send a whole command. */
+    private static final long STALL_NANOS = 3_000 * RouterHarness.MS;
 
     private final Clock clock = Clock.ofSystem();
     private final Counters counters = new Counters();
@@ -133,6 +135,19 @@
         assertTrue(client.endOfStream());
     }
 
+    /** Guards against a client that is told that it has sent nothing, after a time in which the whole process stood still. */
+    @Test
+    void clientWhoseFirstRequestIsUnreadIsNotFailedAsSilent() throws IOException {
+        sendUnread(RouterHarness.lookQuery("1"));
+        inTurn(() -> {
+            connection.failIfStalled(clock.now() + STALL_NANOS);
+            return null;
+        });
+        assertEquals(0, counters.of(Counters.Count.SILENT_CLIENTS));
+        releaseIoThread.countDown();
+        awaitSubmitted(1);
+    }
+
     /** Guards against a request that is read, and gets no answer, between the decision to close and the close itself. */
     @Test
     void nothingIsReadOnceTheConnectionIsToBeClosed() throws IOException {
