Move a client's input and its queued commands out of ClientConnection

ClientInput parses on the I/O thread and counts what waits for the event loop; CommandQueue holds what waits in it, and counts its memory.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -7,12 +7,8 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
 import ledgewall.pg.ClientMessage;
-import ledgewall.pg.Frame;
-import ledgewall.pg.FrameReader;
 import ledgewall.pg.MessageWriter;
-import ledgewall.pg.ProtocolException;
 import ledgewall.pg.SqlState;
 import ledgewall.pg.Statement;
 import org.apache.mina.core.session.IoSession;
@@ -23,7 +19,7 @@
     private static final int MAX_MESSAGE_BYTES = 192 * 1024;
     /** Unanswered commands at which further ones are queued until some are answered. */
     private static final int MAX_PIPELINED_COMMANDS = 64;
-    /** Memory for queued commands, in bytes as {@link QueuedCommand#heapBytes()} counts them, at which they are refused. */
+    /** Memory for queued commands, in bytes as {@link CommandQueue#heapBytes()} counts them, at which they are refused. */
     private static final int MAX_QUEUED_BYTES = 512 * 1024;
     /** What a submitted request takes of the heap beside its bytes: its fields, its timer, its attempts, the policy's state. */
     private static final int REQUEST_BYTES = 1_536;
@@ -36,13 +32,6 @@
      * connection closed, within 3 s; the sweep detects it up to 0.25 s late, and connecting takes part of the 3 s too.
      */
     private static final long COMMAND_TIMEOUT_NANOS = Clock.millisToNanos(2_300);
-    /**
-     * Reads queued for the event loop at which reading is suspended, so that a client that sends fast can neither outrun the
-     * loop nor fill its queue.
-     */
-    private static final int MAX_QUEUED_READS = 4;
-    /** Commands in reads queued for the event loop at which reading is suspended: a read can hold thousands of short ones. */
-    private static final int MAX_QUEUED_COMMANDS = 2 * InputScheduler.COMMANDS_PER_CONNECTION;
     /** A client asks for encryption at most once by SSLRequest and once by GSSENCRequest. */
     private static final int MAX_ENCRYPTION_REQUESTS = 2;
     /** Invalid commands at which the connection ends: no ordinary client sends so many. */
@@ -91,14 +80,10 @@
 
     private final RouterContext context;
     private final RequestHandler requestHandler;
-    private final FrameReader frameReader = FrameReader.ofClient(MAX_MESSAGE_BYTES);
+    private final ClientInput input;
     private final Deque<AnswerSlot> answerSlots = new ArrayDeque<>();
-    private final Deque<QueuedCommand> queuedCommands = new ArrayDeque<>();
+    private final CommandQueue queuedCommands = new CommandQueue();
     private final IncompleteMessage incompleteMessage = new IncompleteMessage();
-    private final AtomicInteger queuedReads = new AtomicInteger();
-    /** Commands in the reads that are queued for the event loop. */
-    private final AtomicInteger commandsInQueuedReads = new AtomicInteger();
-    private final ReadGate readGate = new ReadGate();
     private final InputScheduler.Quota quota;
     private final RequestIds.Share idShare = new RequestIds.Share();
     /** Answers that are ready to be written, in order; written together at the end of a turn's commands. */
@@ -118,8 +103,6 @@
     private boolean processingQueue;
     /** Size of the statements whose answers have not been written. */
     private int statementBytesInHand;
-    /** Memory that the queued commands take. */
-    private int queuedBytes;
     private int readBufferSize;
     /** Submitted requests without an answer. */
     private int requestsInHand;
@@ -135,21 +118,6 @@
     private int encryptionRequests;
     private long openedAt;
     private long idleSince;
-    /** Reads that the event loop has processed. */
-    private long processedReads;
-
-    /** A command that waits for earlier ones to be answered, and when it was received. */
-    private record QueuedCommand(ClientMessage message, long receivedAt) {
-        private static final int COMMAND_BYTES = 64;
-        /** A statement's fields and names beside its bytes. */
-        private static final int STATEMENT_BYTES = 320;
-
-        /** About how much of the heap it takes. */
-        int heapBytes() {
-            return message instanceof ClientMessage.Query query ? COMMAND_BYTES + STATEMENT_BYTES + query.statement().size()
-                : COMMAND_BYTES;
-        }
-    }
 
     /** One command's place in the order of answers, and its answer once there is one. */
     final class AnswerSlot {
@@ -183,6 +151,7 @@
     ClientConnection(RouterContext context, RequestHandler requestHandler) {
         this.context = context;
         this.requestHandler = requestHandler;
+        this.input = new ClientInput(MAX_MESSAGE_BYTES, requestHandler.acceptsUncommentedStatements());
         this.quota = context.loop().inputScheduler().new Quota();
     }
 
@@ -201,73 +170,33 @@
 
     @Override
     public ReadGate readGate() {
-        return readGate;
+        return input.readGate();
     }
 
     @Override
     public Runnable receive(ByteBuffer bytes, long receivedAt, IoSession from) {
-        ParsedRead read = parse(bytes, receivedAt);
-        int commands = commandsInQueuedReads.addAndGet(read.messages().size());
-        if (queuedReads.incrementAndGet() >= MAX_QUEUED_READS || commands >= MAX_QUEUED_COMMANDS || read.violation() != null) {
-            from.suspendRead(); // resumed by the event loop once it has processed enough reads
-        }
-        readGate.delivered();
+        ClientInput.Read read = input.receive(bytes, receivedAt, from);
         return () -> {
-            queuedReads.decrementAndGet();
-            commandsInQueuedReads.addAndGet(-read.messages().size());
-            processedReads++;
-            process(read);
-            if (!closed && failure != null) {
-                closeWithFailure();
-            } else if (!closed && closing && isQuiescent()) {
-                closeIfAllIsRead(); // the close waited for this read, which held no complete command
-            } else if (!closed) {
-                updateReading();
+            input.processed(read);
+            if (!closed) {
+                process(read);
             }
-        };
-    }
-
-    /**
-     * What a read holds: the messages that it completes, how many bytes of the one after them, the size of the buffer for it, and
-     * the reason for which the bytes behind them cannot be parsed, or null.
-     */
-    private record ParsedRead(List<ClientMessage> messages, int partialBytes, int bufferSize, String violation,
-                              long receivedAt) { }
-
-    private ParsedRead parse(ByteBuffer bytes, long receivedAt) {
-        List<ClientMessage> messages = new ArrayList<>();
-        try {
-            List<Frame> frames = new ArrayList<>();
-            try {
-                frameReader.feed(bytes, frames::add);
-            } finally {
-                for (Frame frame : frames) {
-                    messages.add(ClientMessage.parse(frame, requestHandler.acceptsUncommentedStatements()));
-                }
+            if (!closed) {
+                continueAfterRead();
             }
-        } catch (ProtocolException e) {
-            return new ParsedRead(messages, 0, frameReader.capacity(), e.getMessage(), receivedAt);
-        }
-        return new ParsedRead(messages, frameReader.bufferedBytes(), frameReader.capacity(), null, receivedAt);
+        };
     }
 
-    private void process(ParsedRead read) {
-        if (closed) {
-            return;
-        }
+    private void process(ClientInput.Read read) {
         readBufferSize = read.bufferSize();
         incompleteMessage.update(read.partialBytes(), !read.messages().isEmpty(), read.receivedAt());
-        for (ClientMessage message : read.messages()) {
-            QueuedCommand command = new QueuedCommand(message, read.receivedAt());
-            queuedCommands.add(command);
-            queuedBytes += command.heapBytes();
-        }
+        queuedCommands.addAll(read.messages(), read.receivedAt());
         if (failure != null) {
             refuseQueuedCommands();
             return;
         }
         processQueued();
-        if (queuedBytes > MAX_QUEUED_BYTES) {
+        if (queuedCommands.heapBytes() > MAX_QUEUED_BYTES) {
             shedQueuedCommands();
         }
         if (read.violation() != null) {
@@ -275,6 +204,16 @@
         }
     }
 
+    private void continueAfterRead() {
+        if (failure != null) {
+            closeWithFailure();
+        } else if (closing && isQuiescent()) {
+            closeIfAllIsRead(); // the close waited for this read, which held no complete command
+        } else {
+            updateReading();
+        }
+    }
+
     /**
      * Processes queued commands while there is capacity, and leaves to later turns what is more than the connection's share of
      * this one; reading resumes only once none is queued.
@@ -290,7 +229,7 @@
                 context.loop().inputScheduler().defer(this);
                 break;
             }
-            QueuedCommand command = pollQueuedCommand();
+            CommandQueue.Command command = queuedCommands.poll();
             process(command.message(), command.receivedAt());
         }
         processingQueue = false;
@@ -301,12 +240,6 @@
         updateReading();
     }
 
-    private QueuedCommand pollQueuedCommand() {
-        QueuedCommand command = queuedCommands.poll();
-        queuedBytes -= command.heapBytes();
-        return command;
-    }
-
     /**
      * Frees memory of a queue that has grown too long while reading must go on: queued requests are refused. What a connection
      * may process in one turn suffices for what a client pipelines that waits for answers; if it does not, or if too many
@@ -317,10 +250,10 @@
             return; // reading is suspended until the queue is processed
         }
         context.counters().add(Counters.Count.QUEUES_SHED);
-        while (!closed && queuedBytes > MAX_QUEUED_BYTES && quota.take()) {
+        while (!closed && queuedCommands.heapBytes() > MAX_QUEUED_BYTES && quota.take()) {
             refuseNextCommand();
         }
-        if (queuedBytes > MAX_QUEUED_BYTES || answerSlots.size() > MAX_WAITING_ANSWERS) {
+        if (queuedCommands.heapBytes() > MAX_QUEUED_BYTES || answerSlots.size() > MAX_WAITING_ANSWERS) {
             giveUpRequests();
         }
         processQueued();
@@ -356,9 +289,8 @@
         if (closed) {
             return;
         }
-        boolean hasQueueCapacity = queuedReads.get() < MAX_QUEUED_READS;
-        boolean takesCommands = queuedCommands.isEmpty() && hasCapacity() && (!closing || readsPutOff) && hasQueueCapacity;
-        boolean shouldRead = !inputEnded && failure == null && (takesCommands || requestsInHand > 0 && hasQueueCapacity);
+        boolean takesCommands = queuedCommands.isEmpty() && hasCapacity() && (!closing || readsPutOff) && input.hasCapacity();
+        boolean shouldRead = !inputEnded && failure == null && (takesCommands || requestsInHand > 0 && input.hasCapacity());
         if (takesCommands || clientTakesNoAnswers()) {
             incompleteMessage.resume(context.loop().now());
         } else {
@@ -378,13 +310,13 @@
     /** Lets a close that waits for put-off reads go on once a whole pass of the I/O thread has found nothing more to read. */
     private void closeOnceAllIsRead() {
         awaitingReads = true;
-        long readsBefore = processedReads;
+        long readsBefore = input.processedReads();
         context.transport().afterPendingReads(() -> {
             awaitingReads = false;
             if (closed) {
                 return;
             }
-            if (processedReads != readsBefore || session.isReadSuspended()) {
+            if (input.processedReads() != readsBefore || session.isReadSuspended()) {
                 updateReading(); // which comes here again
                 return;
             }
@@ -495,7 +427,7 @@
         }
         context.counters().add(Counters.Count.BAD_CLIENTS);
         failure = reason;
-        readGate.close();
+        input.stop();
         abandonRequests(reason);
         refuseQueuedCommands();
         closeWithFailure();
@@ -503,7 +435,7 @@
 
     /** Ends a connection that has failed, once the requests that had been read by then are refused. */
     private void closeWithFailure() {
-        if (queuedReads.get() == 0 && !readGate.isDelivering()) {
+        if (input.isProcessed()) {
             closeWithError(failure);
         }
     }
@@ -533,8 +465,8 @@
     }
 
     private void refuseNextCommand() {
-        QueuedCommand command = pollQueuedCommand();
-        if (command.message() instanceof ClientMessage.Query && !skipsUntilSync) {
+        CommandQueue.Command command = queuedCommands.poll();
+        if (command.isRequest() && !skipsUntilSync) {
             AnswerSlot slot = new AnswerSlot();
             answerSlots.add(slot);
             slot.refused = true;
@@ -571,7 +503,7 @@
      * itself did not read does not count.
      */
     void failIfStalled(long now) {
-        if (closed || incompleteMessage.isPaused() || queuedReads.get() > 0) {
+        if (closed || incompleteMessage.isPaused() || input.hasQueuedReads()) {
             return;
         }
         boolean overdue = !commandReceived && now >= openedAt + COMMAND_TIMEOUT_NANOS
@@ -608,7 +540,7 @@
             }
         }
         if (!closed && answerSlots.isEmpty() && queuedCommands.isEmpty()) {
-            if (closing && !readsPutOff && queuedReads.get() == 0) {
+            if (closing && !readsPutOff && !input.hasQueuedReads()) {
                 closeIfAllIsRead();
             } else if (commandReceived && !closing) {
                 idleSince = context.loop().now();
@@ -630,7 +562,7 @@
     /** Updates the count of the memory that is taken for this client. */
     private void updateBufferedBytes() {
         if (!closed) {
-            context.bufferedBytes().set(this, readBufferSize + queuedBytes + statementBytesInHand
+            context.bufferedBytes().set(this, readBufferSize + queuedCommands.heapBytes() + statementBytesInHand
                 + requestsInHand * REQUEST_BYTES + answerSlots.size() * ANSWER_SLOT_BYTES + waitingAnswerBytes + unsentBytes);
         }
     }
@@ -640,7 +572,7 @@
      * acknowledged by the kernel, so that requests in it have to be answered.
      */
     private boolean isQuiescent() {
-        return answerSlots.isEmpty() && queuedCommands.isEmpty() && queuedReads.get() == 0 && !readsPutOff;
+        return answerSlots.isEmpty() && queuedCommands.isEmpty() && !input.hasQueuedReads() && !readsPutOff;
     }
 
     /** Closes the connection once its commands are answered; at once if there are none. */
@@ -682,7 +614,7 @@
 
     /** Has the I/O thread read nothing more; returns false, and lets it read on, if the client has sent something meanwhile. */
     private boolean stopReadingIfAllIsRead() {
-        return !hasUnreadBytes() && readGate.closeIf(() -> queuedReads.get() == 0);
+        return !hasUnreadBytes() && input.stopIfAllIsProcessed();
     }
 
     /** Closes the connection after the next request that is answered on it. */
@@ -691,7 +623,7 @@
     }
 
     private void closeOnFlush() {
-        readGate.close();
+        input.stop();
         writeAnswers();
         session.closeOnFlush();
         handleClosed();
@@ -699,7 +631,7 @@
 
     /** Reads nothing more: what has been read is answered, the rest is left to be sent again on another connection. */
     void stopReading() {
-        readGate.close();
+        input.stop();
     }
 
     /** Closes the connection once its answers are written; requests that have none yet are abandoned. */
@@ -712,7 +644,7 @@
     /** Closes the connection at once, without writing what is pending. */
     void close() {
         if (!closed) {
-            readGate.close();
+            input.stop();
             session.closeNow();
             handleClosed();
         }
@@ -723,9 +655,7 @@
      * of hosts, are answered at once. It is closed only if it holds none, so that its client reads or writes too slowly.
      */
     void shedBufferedBytes() {
-        boolean holdsRequests = requestsInHand > 0
-            || queuedCommands.stream().anyMatch(command -> command.message() instanceof ClientMessage.Query);
-        if (!holdsRequests) {
+        if (requestsInHand == 0 && !queuedCommands.holdsRequests()) {
             context.counters().add(Counters.Count.CUT_OFF);
             close();
             return;
--- a/router/src/main/java/ledgewall/net/RequestIds.java
+++ b/router/src/main/java/ledgewall/net/RequestIds.java
@@ -13,9 +13,9 @@
  * The ids of recent requests, so that none is accepted twice. Times are nanoseconds on the router's clock.
  *
  * <p>The id of a request that must not run twice is held until the request's deadline, and remembered for
- * {@link #RETENTION_NANOS} after it, in case it comes again although its client has left. While the
- * table is full of ids that are held, such requests get no place; ids that are merely remembered give way. Ids of repeatable requests are forgotten at their deadline, or earlier,
- * the oldest first, where there are too many: that costs a member a read, and nobody an effect.
+ * {@link #RETENTION_NANOS} after it, in case it comes again although its client has left. While the table is full of ids that
+ * are held, such requests get no place; ids that are merely remembered give way. Ids of repeatable requests are forgotten at
+ * their deadline, or earlier, the oldest first, where there are too many: that costs a member a read, and nobody an effect.
  */
 final class RequestIds {
     /** Ids of each kind at most; they take a few megabytes. */
