Refuse a request that is on its way when its connection is cut off for memory

Found by asking of each close whether a request can lie behind it: a connection that held too much memory and no request was closed at once, also over a read that completed a request and waited for the loop. Change: such a connection fails like any other: what has been read is refused, then it ends with an error. One that does not take its answers is still closed at once. Measured: ConnectionEvictionTest's new case; before, the connection was closed at once and the request got no answer (the case asserts that it is still open).

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -657,7 +657,7 @@
     void shedBufferedBytes() {
         if (requestsInHand == 0 && !queuedCommands.holdsRequests()) {
             context.counters().add(Counters.Count.CUT_OFF);
-            close();
+            cutOff();
             return;
         }
         context.counters().add(Counters.Count.SHED_FOR_MEMORY);
@@ -666,6 +666,15 @@
         updateBufferedBytes();
     }
 
+    /** Ends a connection that holds no request; one that is on its way from the I/O thread is refused first. */
+    private void cutOff() {
+        if (clientTakesNoAnswers()) {
+            close(); // an error would wait behind the answers
+        } else {
+            failConnection("too much of the router's memory is taken");
+        }
+    }
+
     @Override
     public void disconnected(long endedAt) {
         handleClosed();
--- a/router/src/test/java/ledgewall/net/ConnectionEvictionTest.java
+++ b/router/src/test/java/ledgewall/net/ConnectionEvictionTest.java
@@ -102,4 +102,17 @@
         assertEquals(1, handler.refusedCount());
         assertTrue(handler.isClosed());
     }
+
+    /** Guards against a request that is dropped because its first half took too much memory. */
+    @Test
+    void requestCompletedByAQueuedReadIsRefusedWhenItsConnectionIsCutOff() {
+        byte[] query = RouterHarness.lookQuery("1");
+        fixture.read(Arrays.copyOf(query, query.length / 2)).run();
+        Runnable rest = fixture.read(Arrays.copyOfRange(query, query.length / 2, query.length));
+        connection.shedBufferedBytes();
+        assertFalse(handler.isClosed());
+        rest.run();
+        assertEquals(1, handler.refusedCount());
+        assertTrue(handler.isClosed());
+    }
 }
