Close clients that were turned away sooner where others wait to be accepted

A client that is turned away keeps its descriptor until its request is refused or nothing has come of it for 0.2 s; hundreds that say nothing would have others wait that long in the kernel's queue. Where clients wait there, 50 ms suffice.

--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -46,8 +46,9 @@
     private final Set<ClientConnection> clients = new LinkedHashSet<>();
     /**
      * Clients that were turned away, the oldest first. What they had written by then may have been read, so that each stays
-     * until its request is refused, or until nothing has come of it for {@link #MIN_SILENT_NANOS}. They use descriptors that are
-     * kept back for connections on their way in or out, so that their number is bounded by what the acceptor accepts.
+     * until its request is refused, or until nothing has come of it for {@link #MIN_SILENT_NANOS} (for {@link #MIN_IDLE_NANOS}
+     * where other clients wait to be accepted). They use descriptors that are kept back for connections on their way in or
+     * out, so that their number is bounded by what the acceptor accepts.
      */
     private final Set<ClientConnection> refusedClients = new LinkedHashSet<>();
     /** Clients that have not sent a complete command yet, the oldest first; removed at the first command or when closed. */
@@ -143,14 +144,14 @@
 
     /** Called while clients wait to be accepted because too many sockets are open: closes the least useful connection. */
     void freeDescriptorForPendingClient() {
-        if (!closeRefused() && !context.descriptors().hasRoomForTraffic()) {
+        if (!closeRefused(MIN_IDLE_NANOS) && !context.descriptors().hasRoomForTraffic()) {
             freeDescriptor();
         }
     }
 
-    /** Closes clients that were turned away and have sent no request since; returns whether there was one. */
-    private boolean closeRefused() {
-        long openedBefore = context.loop().now() - MIN_SILENT_NANOS;
+    /** Closes clients that were turned away and have sent no request for the given time; returns whether there was one. */
+    private boolean closeRefused(long silentNanos) {
+        long openedBefore = context.loop().now() - silentNanos;
         return refusedClients.stream().takeWhile(client -> client.openedAt() <= openedBefore).toList().stream()
             .filter(ClientConnection::closeIfQuiescent).count() > 0;
     }
@@ -189,7 +190,7 @@
     void sweep() {
         long now = context.loop().now();
         openConnections().forEach(connection -> connection.failIfStalled(now));
-        closeRefused();
+        closeRefused(MIN_SILENT_NANOS);
         while (clients.size() > context.descriptors().softClientLimit() && evictClient()) {
             continue; // until the number is within the limit, or no other may be evicted
         }
--- a/router/src/test/java/ledgewall/fleet/HostileClients.java
+++ b/router/src/test/java/ledgewall/fleet/HostileClients.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Queue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -21,6 +23,7 @@
 
     private final InetSocketAddress router;
     private final List<Client> clients = new ArrayList<>();
+    private volatile boolean closed;
 
     HostileClients(InetSocketAddress router) {
         this.router = router;
@@ -65,6 +68,25 @@
         return client;
     }
 
+    /** Has a number of threads connect at full speed, each keeping its last connections open, and say nothing, until closed. */
+    HostileClients connectSilently(int threads, int keptOpen) {
+        for (int i = 0; i < threads; i++) {
+            run(() -> {
+                Queue<Client> open = new ArrayDeque<>();
+                while (!closed) {
+                    open.add(new Client(router));
+                    if (open.size() > keptOpen) {
+                        open.poll().close();
+                    }
+                }
+                for (Client client : open) {
+                    client.close();
+                }
+            });
+        }
+        return this;
+    }
+
     private Client open() throws IOException {
         Client client = new Client(router);
         clients.add(client);
@@ -165,6 +187,7 @@
 
     @Override
     public void close() throws IOException {
+        closed = true;
         for (Client client : clients) {
             client.close();
         }
--- a/router/src/test/java/ledgewall/fleet/HostileClientsTest.java
+++ b/router/src/test/java/ledgewall/fleet/HostileClientsTest.java
@@ -99,15 +99,31 @@
         primaries.answerAfter(600, false);
         try (HostileClients hostile = new HostileClients(router.address())) {
             hostile.flood(12, Wire.query(""));
-            List<HostileClients.CrowdResult> results = HostileClients.crowd(router.address(), 600, 1_500, WRITE_DEADLINE_MS);
-            List<HostileClients.CrowdResult> unanswered = results.stream()
-                .filter(result -> !result.isAnsweredInTime(WRITE_DEADLINE_MS)).toList();
-            assertEquals(600, results.size());
-            assertTrue(unanswered.isEmpty(), () -> unanswered.size() + " without an answer in time: "
-                + unanswered.stream().limit(5).toList());
+            assertCrowdIsAnswered(600, 1_500);
         }
     }
 
+    @Test
+    void clientsThatComeBesideOthersThatSayNothingAreAllAnswered() throws IOException, InterruptedException {
+        try (HostileClients hostile = new HostileClients(router.address())) {
+            hostile.connectSilently(4, 120);
+            assertCrowdIsAnswered(200, 2_000);
+        }
+    }
+
+    private void assertCrowdIsAnswered(int clients, long spreadMillis) throws InterruptedException {
+        List<HostileClients.CrowdResult> results =
+            HostileClients.crowd(router.address(), clients, spreadMillis, WRITE_DEADLINE_MS);
+        List<HostileClients.CrowdResult> unanswered = results.stream()
+            .filter(result -> !result.isAnsweredInTime(WRITE_DEADLINE_MS)).toList();
+        System.out.println(clients + " clients, the slowest answer after "
+            + results.stream().mapToLong(HostileClients.CrowdResult::elapsedMillis).max().orElse(0) + " ms, served "
+            + results.stream().filter(result -> result.replyTypes().startsWith("T")).count());
+        assertEquals(clients, results.size());
+        assertTrue(unanswered.isEmpty(), () -> unanswered.size() + " without an answer in time: "
+            + unanswered.stream().limit(5).toList());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"look", "put"})
     void noAttemptBeginsOnceTheClientOfALongPipelineHasLeft(String className) throws IOException, InterruptedException {
