Test that a leave is noticed behind floods of empty queries, too

The case of 90 writes and a half becomes one of three; the others have 3 and 300 writes with 40,000 empty queries behind them. All pass: 0 attempts begun over 0.1 s after the close of four pipelines each.

--- a/router/src/test/java/ledgewall/fleet/HostileClientsTest.java
+++ b/router/src/test/java/ledgewall/fleet/HostileClientsTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** A router process beside clients that flood it, leave it or crowd it: what they do costs themselves, and nobody else. */
@@ -139,14 +140,19 @@
         assertEquals(List.of(), late);
     }
 
-    @Test
-    void noAttemptBeginsOnceTheClientOfAHalfSentRequestHasLeft() throws IOException, InterruptedException {
+    @ParameterizedTest
+    @CsvSource({"90, half a request", "3, forty thousand empty queries", "300, forty thousand empty queries"})
+    void noAttemptBeginsOnceTheClientHasLeftWhateverItSentLast(int requests, String last)
+            throws IOException, InterruptedException {
         primaries.answerAfter(300, true);
         byte[] request = HostileClients.request(HostileClients.newId(), "put", 5_000);
+        byte[][] emptyQueries = new byte[40_000][];
+        Arrays.fill(emptyQueries, Wire.query(""));
+        byte[] lastBytes = last.startsWith("half") ? Arrays.copyOf(request, request.length / 2) : Wire.join(emptyQueries);
         List<Long> late = new ArrayList<>();
         for (int round = 0; round < 4; round++) {
-            HostileClients.LeftPipeline pipeline = HostileClients.sendAndLeave(router.address(), 90, "put",
-                Arrays.copyOf(request, request.length / 2), 100);
+            HostileClients.LeftPipeline pipeline =
+                HostileClients.sendAndLeave(router.address(), requests, "put", lastBytes, 100);
             TimeUnit.MILLISECONDS.sleep(1_000);
             late.addAll(pipeline.attemptsBegunLaterThan(LEAVE_BOUND_MS, primaries.arrivals(), replicas.arrivals()));
         }
