Log what puts a router under pressure, and why a client's connection ends

The reports' logs held only the line of the start: nothing told turned-away clients, floods or late turns from a quiet router. Change: event=pressure, at most every 5 s and only while one of them grows, names the counters that tell of pressure with their growth; at debug level the ends of clients' connections, shed queues, memory and refusals have events with their reasons.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -12,9 +12,12 @@
 import ledgewall.pg.SqlState;
 import ledgewall.pg.Statement;
 import org.apache.mina.core.session.IoSession;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** A client's connection. Commands may be pipelined; their answers are written in the order of the commands. */
 final class ClientConnection implements Endpoint, InputScheduler.Source {
+    private static final Logger LOG = LoggerFactory.getLogger(ClientConnection.class);
     /** Longest message, in bytes: a statement with a value of 64 KiB in hexadecimal digits, and room for the rest of it. */
     private static final int MAX_MESSAGE_BYTES = 192 * 1024;
     /** Unanswered commands at which further ones are queued until some are answered. */
@@ -250,6 +253,8 @@
             return; // reading is suspended until the queue is processed
         }
         context.counters().add(Counters.Count.QUEUES_SHED);
+        LOG.debug("event=queue_shed bytes={} in_hand={} waiting={}", queuedCommands.heapBytes(), requestsInHand,
+            answerSlots.size());
         while (!closed && queuedCommands.heapBytes() > MAX_QUEUED_BYTES && quota.take()) {
             refuseNextCommand();
         }
@@ -426,6 +431,8 @@
             return;
         }
         context.counters().add(Counters.Count.BAD_CLIENTS);
+        LOG.debug("event=client_failed reason=\"{}\" in_hand={} queued_bytes={}", reason, requestsInHand,
+            queuedCommands.heapBytes());
         failure = reason;
         input.stop();
         abandonRequests(reason);
@@ -485,6 +492,7 @@
         if (closed || inputEnded) {
             return;
         }
+        LOG.debug("event=client_left in_hand={} queued_bytes={}", requestsInHand, queuedCommands.heapBytes());
         inputEnded = true;
         closing = true;
         readsPutOff = false;
@@ -661,6 +669,8 @@
             return;
         }
         context.counters().add(Counters.Count.SHED_FOR_MEMORY);
+        LOG.debug("event=memory_shed in_hand={} queued_bytes={} total={}", requestsInHand, queuedCommands.heapBytes(),
+            context.bufferedBytes().totalBytes());
         refuseQueuedCommands();
         giveUpRequests();
         updateBufferedBytes();
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -108,6 +108,7 @@
 
     @Override
     public void refuse(ClientConnection.AnswerSlot slot) {
+        LOG.debug("event=request_refused why=not_submitted");
         context.counters().add(Counters.Count.REQUESTS);
         context.counters().add(Counters.Count.REFUSED);
         slot.complete(refusalMessage(0));
@@ -260,6 +261,7 @@
             }
             case NO_CAPACITY -> {
                 context.counters().add(Counters.Count.IDS_EXHAUSTED);
+                LOG.debug("event=request_refused id={} why=ids_exhausted", statement.id());
                 context.counters().add(Counters.Count.REFUSED);
                 request.answer(refusalMessage(0));
                 return request;
--- a/router/src/main/java/ledgewall/net/Router.java
+++ b/router/src/main/java/ledgewall/net/Router.java
@@ -39,6 +39,7 @@
     private final Peers peers;
     private final RouterContext context;
     private final Thread loopThread = new Thread(loop, "ledgewall-loop");
+    private final PressureLog pressureLog = new PressureLog(counters);
     private final CountDownLatch closed = new CountDownLatch(1);
     private boolean draining;
 
@@ -180,6 +181,7 @@
     private void sweep() {
         members.sweep();
         dispatcher.sweep();
+        pressureLog.update(loop.now());
         loop.runAfter(SWEEP_INTERVAL_NANOS, this::sweep);
     }
 
