Take a Terminate message for a leave as soon as it is read

Found by asking how a leave shows during each wait: a Terminate was queued behind up to 64 commands in hand, and the requests before it were sent on until it had its turn, if its client kept the socket open. Change: a read that ends with Terminate ends the session at once: requests in hand are abandoned, queued ones refused, each with an answer should the client still listen. Measured: ConnectionBacklogTest's new case failed before (nothing abandoned) and passes.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -198,6 +198,10 @@
             refuseQueuedCommands();
             return;
         }
+        if (read.endsSession()) {
+            inputEnded(read.receivedAt()); // at once, not in its turn: its client has left
+            return;
+        }
         processQueued();
         if (queuedCommands.heapBytes() > MAX_QUEUED_BYTES) {
             shedQueuedCommands();
--- a/router/src/main/java/ledgewall/net/ClientInput.java
+++ b/router/src/main/java/ledgewall/net/ClientInput.java
@@ -41,7 +41,12 @@
      * @param bufferSize the size of the buffer for that message
      * @param violation the reason for which the bytes behind the messages cannot be parsed, or null
      */
-    record Read(List<ClientMessage> messages, int partialBytes, int bufferSize, String violation, long receivedAt) { }
+    record Read(List<ClientMessage> messages, int partialBytes, int bufferSize, String violation, long receivedAt) {
+        /** Whether the client ends its session with this read. */
+        boolean endsSession() {
+            return !messages.isEmpty() && messages.get(messages.size() - 1) instanceof ClientMessage.Terminate;
+        }
+    }
 
     /** Called on the I/O thread: parses what has been read, and counts it until the event loop has processed it. */
     Read receive(ByteBuffer bytes, long receivedAt, IoSession session) {
--- a/router/src/test/java/ledgewall/net/ConnectionBacklogTest.java
+++ b/router/src/test/java/ledgewall/net/ConnectionBacklogTest.java
@@ -111,6 +111,16 @@
         assertTrue(handler.isClosed());
     }
 
+    /** Guards against a leave that goes unnoticed, as the client's last word is queued behind its commands. */
+    @Test
+    void terminateEndsTheRequestsBeforeItAtOnce() {
+        fixture.read(queries(SENT)).run();
+        fixture.read(Wire.join(queries(1), Wire.message('X'))).run();
+        assertEquals(IN_HAND, handler.abandonedCount());
+        assertEquals(SENT - IN_HAND + 1, handler.refusedCount());
+        assertTrue(handler.isClosed());
+    }
+
     /** Guards against the same at a planned stop, when the router reads no further because it is going to close. */
     @Test
     void messageThatADrainDoesNotReadOnIsNotHeldAgainstTheClient() {
