--- a/router/src/test/java/ledgewall/standin/Client.java
+++ b/router/src/test/java/ledgewall/standin/Client.java
@@ -1,6 +1,7 @@
 package ledgewall.standin;
 
 import java.io.DataInputStream;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -48,13 +49,16 @@
         return in.read();
     }
 
-    /** Reads all messages up to ReadyForQuery, which is left out. */
+    /** Reads all messages up to ReadyForQuery, which is left out; fails if the connection ends before it. */
     public List<Message> readUntilReady() throws IOException {
         List<Message> messages = new ArrayList<>();
-        for (Message message = read(); message.type() != 'Z'; message = read()) {
+        for (Message message = read(); message != null; message = read()) {
+            if (message.type() == 'Z') {
+                return messages;
+            }
             messages.add(message);
         }
-        return messages;
+        throw new EOFException("closed before ReadyForQuery");
     }
 
     /**
