Test six kinds of floods beside twenty ordinary clients

Empty queries, Syncs, extended queries, unknown classes under ever new names and ids, reads, and queries of 150 KB, each on six connections at full speed, beside 20 clients with 14 requests each.

--- a/router/src/test/java/ledgewall/fleet/FaultInjector.java
+++ b/router/src/test/java/ledgewall/fleet/FaultInjector.java
@@ -20,6 +20,7 @@
     private static final long LEAVE_BOUND_MS = 100;
     private static final long DEADLINE_MS = 800;
     private static final int MAX_FAULTS_AT_ONCE = 3;
+    private static final int COMMANDS_PER_WRITE = 4_096;
     private static final List<byte[]> FLOOD_COMMANDS = List.of(Wire.query(""), Wire.message('S'), Wire.message('H'),
         Wire.query("/* id=1,c=nosuch,d=5,cluster=0 */ SELECT 1"));
 
@@ -104,8 +105,9 @@
     }
 
     private void flood() throws IOException {
-        byte[] command = FLOOD_COMMANDS.get(random.nextInt(FLOOD_COMMANDS.size()));
-        hostileClients.add(new HostileClients(router.address()).flood(1 + random.nextInt(6), command));
+        byte[][] commands = new byte[COMMANDS_PER_WRITE][];
+        Arrays.fill(commands, FLOOD_COMMANDS.get(random.nextInt(FLOOD_COMMANDS.size())));
+        hostileClients.add(new HostileClients(router.address()).flood(1 + random.nextInt(6), Wire.join(commands)));
     }
 
     private void stopWithinMessages() throws IOException {
--- a/router/src/test/java/ledgewall/fleet/HostileClients.java
+++ b/router/src/test/java/ledgewall/fleet/HostileClients.java
@@ -17,7 +17,6 @@
 
 /** Clients that take as much of a router as it lets them: floods, pipelines whose client leaves, crowds, halves of messages. */
 final class HostileClients implements AutoCloseable {
-    private static final int COMMANDS_PER_WRITE = 4_096;
     private static final long LATE_ANSWER_MS = 500;
     private static final AtomicInteger LAST_ID = new AtomicInteger();
 
@@ -40,11 +39,8 @@
             + ",cluster=0 */ INSERT INTO facts (code, data) VALUES ('k1', 'v') RETURNING data");
     }
 
-    /** Has a number of connections send copies of one command at full speed, and read what they are sent, until closed. */
-    HostileClients flood(int connections, byte[] command) throws IOException {
-        byte[][] copies = new byte[COMMANDS_PER_WRITE][];
-        Arrays.fill(copies, command);
-        byte[] commands = Wire.join(copies);
+    /** Has connections send the same commands again and again at full speed, and read what they are sent, until closed. */
+    HostileClients flood(int connections, byte[] commands) throws IOException {
         for (int i = 0; i < connections; i++) {
             Client client = open();
             run(() -> {
--- a/router/src/test/java/ledgewall/fleet/HostileClientsTest.java
+++ b/router/src/test/java/ledgewall/fleet/HostileClientsTest.java
@@ -9,7 +9,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import ledgewall.standin.Client;
 import ledgewall.standin.Wire;
@@ -31,6 +36,8 @@
     private static final long WRITE_DEADLINE_MS = 1_098;
     /** An attempt that begins later than this after its client's close is a lost request. */
     private static final long LEAVE_BOUND_MS = 100;
+    private static final int ORDINARY_CLIENTS = 20;
+    private static final int REQUESTS_EACH = 14;
     private static final byte[] SYNC = Wire.message('S');
     /** Of a machine of 128 MB. */
     private static final long MEMORY_LIMIT_KILOBYTES = 128 * 1024;
@@ -86,12 +93,41 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"empty queries", "syncs"})
-    void floodOfOneKindOfCommandDelaysNoOtherClient(String kind) throws IOException, InterruptedException {
+    @ValueSource(strings = {"empty queries", "syncs", "extended queries", "unknown classes", "reads with new ids", "large queries"})
+    void floodOfOneKindOfCommandDelaysNoOtherClient(String kind) throws Exception {
         lateAnswers(10); // compiles what a request passes
         try (HostileClients hostile = new HostileClients(router.address())) {
-            hostile.flood(6, kind.equals("syncs") ? SYNC : Wire.query(""));
-            assertEquals(List.of(), lateAnswers(60));
+            hostile.flood(6, floodCommands(kind));
+            assertEquals(List.of(), lateAnswersOfManyClients());
+        }
+    }
+
+    private static byte[] floodCommands(String kind) {
+        byte[][] commands = new byte[kind.startsWith("large") ? 4 : 4_096][];
+        Arrays.setAll(commands, i -> switch (kind) {
+            case "empty queries" -> Wire.query("");
+            case "syncs" -> SYNC;
+            case "extended queries" -> Wire.join(Wire.message('P', Wire.text(""), Wire.text("SELECT 1"), Wire.int16(0)), SYNC);
+            case "unknown classes" -> HostileClients.request(HostileClients.newId(), "class" + i, READ_DEADLINE_MS);
+            case "reads with new ids" -> HostileClients.request(HostileClients.newId(), "look", READ_DEADLINE_MS);
+            default -> Wire.query("/* id=" + HostileClients.newId() + ",c=nosuch,d=5,cluster=0 */ SELECT '" + "x".repeat(150_000)
+                + "'");
+        });
+        return Wire.join(commands);
+    }
+
+    /** Has ordinary clients ask at the same time, each on its connection, and returns the late answers of all. */
+    private List<Long> lateAnswersOfManyClients() throws Exception {
+        ExecutorService threads = Executors.newFixedThreadPool(ORDINARY_CLIENTS);
+        try {
+            Callable<List<Long>> client = () -> lateAnswers(REQUESTS_EACH);
+            List<Long> late = new ArrayList<>();
+            for (Future<List<Long>> answers : threads.invokeAll(Collections.nCopies(ORDINARY_CLIENTS, client))) {
+                late.addAll(answers.get());
+            }
+            return late;
+        } finally {
+            threads.shutdownNow();
         }
     }
 
@@ -99,7 +135,7 @@
     void clientsThatComeBesideAFloodAreAllAnswered() throws IOException, InterruptedException {
         primaries.answerAfter(600, false);
         try (HostileClients hostile = new HostileClients(router.address())) {
-            hostile.flood(12, Wire.query(""));
+            hostile.flood(12, floodCommands("empty queries"));
             assertCrowdIsAnswered(600, 1_500);
         }
     }
@@ -206,6 +242,7 @@
     private void assertStillServes() throws IOException {
         assertTrue(router.isAlive());
         assertFalse(router.log().contains("OutOfMemoryError"), router.log());
+        System.out.println("peak memory " + router.peakMemoryKilobytes() + " kB");
         assertTrue(router.peakMemoryKilobytes() < MEMORY_LIMIT_KILOBYTES, "peak " + router.peakMemoryKilobytes() + " kB");
         try (Client client = Client.connect(router.address())) {
             client.send(HostileClients.request(HostileClients.newId(), "look", WRITE_DEADLINE_MS));
@@ -252,7 +289,7 @@
     @Test
     void crowdThatFloodsTakesNoMoreMemoryThanThereIs() throws IOException, InterruptedException {
         try (HostileClients hostile = new HostileClients(router.address())) {
-            hostile.flood(150, SYNC);
+            hostile.flood(150, floodCommands("syncs"));
             TimeUnit.MILLISECONDS.sleep(3_000);
         }
         TimeUnit.MILLISECONDS.sleep(1_000);
