--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -154,7 +154,8 @@
     ClientConnection(RouterContext context, RequestHandler requestHandler) {
         this.context = context;
         this.requestHandler = requestHandler;
-        this.input = new ClientInput(MAX_MESSAGE_BYTES, requestHandler.acceptsUncommentedStatements());
+        this.input = new ClientInput(MAX_MESSAGE_BYTES, requestHandler.acceptsUncommentedStatements(),
+            context.bufferedBytes());
         this.quota = context.loop().inputScheduler().new Quota();
     }
 
--- a/router/src/main/java/ledgewall/net/ClientInput.java
+++ b/router/src/main/java/ledgewall/net/ClientInput.java
@@ -21,6 +21,7 @@
     private static final int MAX_QUEUED_COMMANDS = 2 * InputScheduler.COMMANDS_PER_CONNECTION;
 
     private final boolean acceptsUncommentedStatements;
+    private final BufferedBytes bufferedBytes;
     private final FrameReader frameReader;
     private final ReadGate readGate = new ReadGate();
     private final AtomicInteger queuedReads = new AtomicInteger();
@@ -28,7 +29,8 @@
     /** Used by the event loop only. */
     private long processedReads;
 
-    ClientInput(int maxMessageBytes, boolean acceptsUncommentedStatements) {
+    ClientInput(int maxMessageBytes, boolean acceptsUncommentedStatements, BufferedBytes bufferedBytes) {
+        this.bufferedBytes = bufferedBytes;
         this.frameReader = FrameReader.ofClient(maxMessageBytes);
         this.acceptsUncommentedStatements = acceptsUncommentedStatements;
     }
@@ -40,8 +42,9 @@
      * @param partialBytes how many bytes of the message after them have been received
      * @param bufferSize the size of the buffer for that message
      * @param violation the reason for which the bytes behind the messages cannot be parsed, or null
+     * @param size the number of bytes read
      */
-    record Read(List<ClientMessage> messages, int partialBytes, int bufferSize, String violation, long receivedAt) {
+    record Read(List<ClientMessage> messages, int partialBytes, int bufferSize, String violation, int size, long receivedAt) {
         /** Whether the client ends its session with this read. */
         boolean endsSession() {
             return !messages.isEmpty() && messages.get(messages.size() - 1) instanceof ClientMessage.Terminate;
@@ -52,7 +55,9 @@
     Read receive(ByteBuffer bytes, long receivedAt, IoSession session) {
         Read read = parse(bytes, receivedAt);
         int commands = queuedCommands.addAndGet(read.messages().size());
-        if (queuedReads.incrementAndGet() >= MAX_QUEUED_READS || commands >= MAX_QUEUED_COMMANDS || read.violation() != null) {
+        bufferedBytes.addUnprocessed(read.size());
+        if (queuedReads.incrementAndGet() >= MAX_QUEUED_READS || commands >= MAX_QUEUED_COMMANDS || read.violation() != null
+                || bufferedBytes.isMuchUnprocessed()) {
             session.suspendRead(); // resumed by the event loop once it has processed enough of it
         }
         readGate.delivered();
@@ -60,6 +65,7 @@
     }
 
     private Read parse(ByteBuffer bytes, long receivedAt) {
+        int size = bytes.remaining();
         List<ClientMessage> messages = new ArrayList<>();
         try {
             List<Frame> frames = new ArrayList<>();
@@ -71,15 +77,16 @@
                 }
             }
         } catch (ProtocolException e) {
-            return new Read(messages, 0, frameReader.capacity(), e.getMessage(), receivedAt);
+            return new Read(messages, 0, frameReader.capacity(), e.getMessage(), size, receivedAt);
         }
-        return new Read(messages, frameReader.bufferedBytes(), frameReader.capacity(), null, receivedAt);
+        return new Read(messages, frameReader.bufferedBytes(), frameReader.capacity(), null, size, receivedAt);
     }
 
     /** Called on the event loop, which is about to process a read. */
     void processed(Read read) {
         queuedReads.decrementAndGet();
         queuedCommands.addAndGet(-read.messages().size());
+        bufferedBytes.addUnprocessed(-read.size());
         processedReads++;
     }
 
--- a/router/src/main/java/ledgewall/pg/FrameReader.java
+++ b/router/src/main/java/ledgewall/pg/FrameReader.java
@@ -8,6 +8,8 @@
 public final class FrameReader {
     private static final int PROTOCOL_MAJOR = 3;
     private static final int INITIAL_BUFFER_BYTES = 512;
+    /** Room for what comes next: little, since hundreds of clients may stop in the middle of a message. */
+    private static final int BUFFER_GROWTH_BYTES = 8 * 1024;
     /** PostgreSQL's own limit for packets up to the startup message. */
     private static final int MAX_STARTUP_BYTES = 10_000;
 
@@ -60,7 +62,7 @@
     private void fill(ByteBuffer in, int targetSize) {
         int count = Math.min(in.remaining(), targetSize - buffered);
         if (buffered + count > buffer.length) { // grows with the bytes received, not with the announced length
-            buffer = Arrays.copyOf(buffer, Math.min(targetSize, Math.max(2 * buffer.length, buffered + count)));
+            buffer = Arrays.copyOf(buffer, Math.min(targetSize, buffered + count + BUFFER_GROWTH_BYTES));
         }
         in.get(buffer, buffered, count);
         buffered += count;
@@ -71,7 +73,7 @@
         return buffered;
     }
 
-    /** The size of the buffer for incomplete messages, which grows with what has been received, by up to a factor of two. */
+    /** The size of the buffer for incomplete messages: what has been received of one, and some room. */
     public int capacity() {
         return buffer.length;
     }
--- a/router/src/test/java/ledgewall/fleet/HostileClientsTest.java
+++ b/router/src/test/java/ledgewall/fleet/HostileClientsTest.java
@@ -61,6 +61,12 @@
         router = RouterProcess.onOneProcessor(folder, FleetConfig.singleRouterConfig(discovery, SOCKETS));
     }
 
+    /** Replaces the router by one with another limit of descriptors. */
+    private void restart(int sockets) throws IOException, InterruptedException {
+        router.close();
+        router = RouterProcess.onOneProcessor(folder, FleetConfig.singleRouterConfig(discovery, sockets));
+    }
+
     @AfterEach
     void close() throws IOException {
         router.close();
@@ -250,8 +256,11 @@
         }
     }
 
-    @Test
-    void crowdWithRequestsOfManyShortFieldsTakesNoMoreMemoryThanThereIs() throws IOException, InterruptedException {
+    @ParameterizedTest
+    @CsvSource({"384, 200", "1024, 500"})
+    void crowdWithRequestsOfManyShortFieldsTakesNoMoreMemoryThanThereIs(int sockets, int clients)
+            throws IOException, InterruptedException {
+        restart(sockets);
         primaries.answerAfter(600, false);
         replicas.answerAfter(600, false);
         StringBuilder names = new StringBuilder();
@@ -259,13 +268,13 @@
             names.append('b').append(Integer.toString(i, Character.MAX_RADIX)).append("=,");
         }
         try (HostileClients hostile = new HostileClients(router.address())) {
-            for (int i = 0; i < 200; i++) {
+            for (int i = 0; i < clients; i++) {
                 byte[][] requests = new byte[64][];
                 Arrays.setAll(requests, n -> Wire.query("/* id=" + HostileClients.newId() + ",c=look,d=5000,cluster=0," + names
                     + " */ SELECT data FROM facts WHERE code = 'k1'"));
                 sendUnlessClosed(hostile, Wire.join(requests));
             }
-            TimeUnit.MILLISECONDS.sleep(500);
+            assertCrowdIsAnswered(50, 500);
         }
         primaries.answerAfter(0, false);
         replicas.answerAfter(0, false);
@@ -273,29 +282,66 @@
         assertStillServes();
     }
 
-    @Test
-    void crowdThatStopsHalfWayThroughLargeRequestsTakesNoMoreMemoryThanThereIs() throws IOException, InterruptedException {
+    @ParameterizedTest
+    @CsvSource({"384, 350", "1024, 640"})
+    void crowdThatStopsHalfWayThroughLargeRequestsTakesNoMoreMemoryThanThereIs(int sockets, int clients)
+            throws IOException, InterruptedException {
+        restart(sockets);
         byte[] incomplete = Arrays.copyOf(Wire.query("x".repeat(190_000)), 140_000);
         try (HostileClients hostile = new HostileClients(router.address())) {
-            for (int i = 0; i < 350; i++) {
+            for (int i = 0; i < clients; i++) {
                 sendUnlessClosed(hostile, incomplete);
             }
-            TimeUnit.MILLISECONDS.sleep(500);
+            assertCrowdIsAnswered(50, 500);
         }
         TimeUnit.MILLISECONDS.sleep(500);
         assertStillServes();
     }
 
-    @Test
-    void crowdThatFloodsTakesNoMoreMemoryThanThereIs() throws IOException, InterruptedException {
+    @ParameterizedTest
+    @CsvSource({"384, 150", "1024, 400"})
+    void crowdThatFloodsTakesNoMoreMemoryThanThereIs(int sockets, int clients) throws IOException, InterruptedException {
+        restart(sockets);
         try (HostileClients hostile = new HostileClients(router.address())) {
-            hostile.flood(150, floodCommands("syncs"));
-            TimeUnit.MILLISECONDS.sleep(3_000);
+            hostile.flood(clients, floodCommands("syncs"));
+            TimeUnit.MILLISECONDS.sleep(2_000);
+            assertCrowdIsAnswered(50, 500);
         }
         TimeUnit.MILLISECONDS.sleep(1_000);
         assertStillServes();
     }
 
+    @ParameterizedTest
+    @CsvSource({"384, 350", "1024, 640"})
+    void crowdThatWritesLargeRequestsSlowlyTakesNoMoreMemoryThanThereIs(int sockets, int clients)
+            throws IOException, InterruptedException {
+        restart(sockets);
+        byte[] query = Wire.query("/* id=" + HostileClients.newId() + ",c=put,d=1000,cluster=0 */ SELECT '" + "x".repeat(120_000));
+        try (HostileClients hostile = new HostileClients(router.address())) {
+            List<Client> slow = new ArrayList<>();
+            for (int i = 0; i < clients; i++) {
+                slow.add(hostile.sendAndStay(new byte[0]));
+            }
+            for (int piece = 0; piece < 20; piece++) {
+                for (Client client : slow) {
+                    sendUnlessClosed(client, Arrays.copyOfRange(query, piece * 5_000, (piece + 1) * 5_000));
+                }
+                TimeUnit.MILLISECONDS.sleep(20);
+            }
+            assertCrowdIsAnswered(50, 500);
+        }
+        TimeUnit.MILLISECONDS.sleep(500);
+        assertStillServes();
+    }
+
+    private static void sendUnlessClosed(Client client, byte[] bytes) throws IOException {
+        try {
+            client.send(bytes);
+        } catch (SocketException e) {
+            // turned away or cut off by the router
+        }
+    }
+
     private static void sendUnlessClosed(HostileClients hostile, byte[] bytes) throws IOException {
         try {
             hostile.sendAndStay(bytes);
