Free the count of a failed connection's memory at once

Seen in a run of HostileClientsTest (640 clients that stop within large requests): cut_off counted 5,963 for 273 connections, and an ordinary client's answer took 4.5 s. Cause: since a connection that is cut off first refuses what had been read of it, it stayed the one with the most memory until then; each further update of any client chose it again, in vain. Change: a connection that has failed no longer counts, so that the next one is chosen.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -439,6 +439,7 @@
         LOG.debug("event=client_failed reason=\"{}\" in_hand={} queued_bytes={}", reason, requestsInHand,
             queuedCommands.heapBytes());
         failure = reason;
+        context.bufferedBytes().remove(this); // what it holds is about to be freed: others' is to be shed next
         input.stop();
         abandonRequests(reason);
         refuseQueuedCommands();
@@ -574,7 +575,7 @@
 
     /** Updates the count of the memory that is taken for this client. */
     private void updateBufferedBytes() {
-        if (!closed) {
+        if (!closed && failure == null) {
             context.bufferedBytes().set(this, readBufferSize + queuedCommands.heapBytes() + statementBytesInHand
                 + requestsInHand * REQUEST_BYTES + answerSlots.size() * ANSWER_SLOT_BYTES + waitingAnswerBytes + unsentBytes);
         }
