Keep turns for deferred commands 5 ms apart, so that floods leave processor time

Seen in HostileClientsTest: beside 150 and 400 floods of Sync the slowest of 50 ordinary clients was answered after 899 and 929 ms, and one of them was served; the others were refused, since connecting to members timed out meanwhile. Cause: each turn was bounded, but the next followed at once: floods took all of the processor, turn after turn. Change: commands that have been put off are processed every 5 ms; between these turns the loop waits for new input, which is served first.

--- a/router/src/main/java/ledgewall/net/EventLoop.java
+++ b/router/src/main/java/ledgewall/net/EventLoop.java
@@ -169,7 +169,7 @@
         inputScheduler.startTurn();
         readyTasks.forEach(this::runGuarded);
         readyTasks.clear();
-        runGuarded(inputScheduler::runDeferred);
+        runGuarded(() -> inputScheduler.runDeferred(now));
         runDueTimers();
         if (!pendingEvents.isEmpty()) {
             runPolicy();
@@ -193,8 +193,11 @@
     /** Waits for a task, or until a timer is due, and takes all queued tasks. */
     private void poll() throws InterruptedException {
         removeCancelledHead();
-        boolean mayWait = pendingEvents.isEmpty() && !inputScheduler.hasDeferred();
-        long waitNanos = !mayWait ? 0 : timers.isEmpty() ? Long.MAX_VALUE : timers.peek().dueAt - clock.now();
+        long dueAt = timers.isEmpty() ? Long.MAX_VALUE : timers.peek().dueAt;
+        if (inputScheduler.hasDeferred()) {
+            dueAt = Math.min(dueAt, inputScheduler.nextDeferredAt());
+        }
+        long waitNanos = !pendingEvents.isEmpty() ? 0 : dueAt == Long.MAX_VALUE ? Long.MAX_VALUE : dueAt - clock.now();
         Runnable first = waitNanos > 0 ? taskQueue.poll(waitNanos, TimeUnit.NANOSECONDS) : taskQueue.poll();
         if (first != null) {
             readyTasks.add(first);
--- a/router/src/test/java/ledgewall/net/InputSchedulerTest.java
+++ b/router/src/test/java/ledgewall/net/InputSchedulerTest.java
@@ -16,6 +16,7 @@
 class InputSchedulerTest {
     private final Counters counters = new Counters();
     private final InputScheduler scheduler = new InputScheduler(counters);
+    private long now;
 
     /** A source with a number of queued commands. */
     private final class QueuedCommands implements InputScheduler.Source {
@@ -44,6 +45,12 @@
         return IntStream.range(0, count).mapToObj(i -> new QueuedCommands(commands)).toList();
     }
 
+    /** Runs what has been put off at the time at which it is due next. */
+    private void runDeferred() {
+        now += InputScheduler.DEFERRED_INTERVAL_NANOS;
+        scheduler.runDeferred(now);
+    }
+
     private static int processed(List<QueuedCommands> sources) {
         return sources.stream().mapToInt(source -> source.processed).sum();
     }
@@ -58,7 +65,7 @@
             if (turn == 0) {
                 sources.forEach(QueuedCommands::processQueued);
             }
-            scheduler.runDeferred();
+            runDeferred();
             int inTurn = processed(sources) - before;
             before += inTurn;
             assertTrue(inTurn <= InputScheduler.COMMANDS_PER_TURN + InputScheduler.COMMANDS_PER_CONNECTION, "" + inTurn);
@@ -74,10 +81,10 @@
         scheduler.startTurn();
         sources.forEach(QueuedCommands::processQueued);
         for (int turn = 1; turn < 40 * InputScheduler.COMMANDS_PER_CONNECTION / InputScheduler.COMMANDS_PER_TURN; turn++) {
-            scheduler.runDeferred();
+            runDeferred();
             scheduler.startTurn();
         }
-        scheduler.runDeferred();
+        runDeferred();
         sources.forEach(source -> assertTrue(source.processed >= InputScheduler.COMMANDS_PER_CONNECTION, "" + source.processed));
     }
 
@@ -88,10 +95,26 @@
         deferred.processQueued();
         scheduler.startTurn();
         sources(20, InputScheduler.COMMANDS_PER_CONNECTION).forEach(QueuedCommands::processQueued);
-        scheduler.runDeferred();
+        runDeferred();
         assertEquals(0, deferred.queued);
     }
 
+    /** Guards against floods that take all of the processor, a bounded turn after the other. */
+    @Test
+    void turnsForDeferredCommandsAreApart() {
+        QueuedCommands source = new QueuedCommands(1_000);
+        scheduler.startTurn();
+        source.processQueued();
+        runDeferred();
+        int processed = source.processed;
+        scheduler.startTurn();
+        scheduler.runDeferred(now + InputScheduler.DEFERRED_INTERVAL_NANOS - 1);
+        assertEquals(processed, source.processed);
+        assertEquals(now + InputScheduler.DEFERRED_INTERVAL_NANOS, scheduler.nextDeferredAt());
+        runDeferred();
+        assertEquals(processed + InputScheduler.COMMANDS_PER_CONNECTION, source.processed);
+    }
+
     @Test
     void closedConnectionIsForgotten() {
         QueuedCommands source = new QueuedCommands(1_000);
