Make nothing of a comment's fields that routing does not need

Change: names are compared as bytes; only the seven that routing needs are decoded. A name that routing does not know may now stand twice. The classifier of statements by rules still sees all fields.

--- a/router/src/main/java/ledgewall/pg/Statement.java
+++ b/router/src/main/java/ledgewall/pg/Statement.java
@@ -18,6 +18,7 @@
     private static final int DELETE = 0x7f;
     /** Leaves room for many times the fields that are defined. */
     private static final int MAX_COMMENT_BYTES = 2_048;
+    private static final String[] ROUTING_FIELDS = {"id", "c", "d", "t", "r", "cluster", "after"};
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
@@ -118,7 +119,7 @@
             int position = skipSpace(frame, Frame.LENGTH_BYTES + 1, frame.length - 1);
             Map<String, String> values = new HashMap<>();
             if (startsWith(frame, position, "/*")) {
-                fields(frame, position + 2, commentEnd(frame, position))
+                fields(frame, position + 2, commentEnd(frame, position), true)
                     .forEach((name, field) -> values.put(name, field.value()));
             }
             return values;
@@ -149,7 +150,7 @@
             throw new MalformedException("a statement needs the comment with its id, class, wait and cluster");
         }
         int close = commentEnd(frame, position);
-        return new Statement(frame, fields(frame, position + 2, close), close + 2);
+        return new Statement(frame, fields(frame, position + 2, close, false), close + 2);
     }
 
     private static int commentEnd(byte[] frame, int position) throws MalformedException {
@@ -171,7 +172,8 @@
         return position == end;
     }
 
-    private static Map<String, Field> fields(byte[] bytes, int start, int end) throws MalformedException {
+    /** The fields between two positions: all, or only those that routing needs, however many others a client invents. */
+    private static Map<String, Field> fields(byte[] bytes, int start, int end, boolean all) throws MalformedException {
         Map<String, Field> fields = new HashMap<>();
         int position = start;
         while (position < end) {
@@ -179,13 +181,14 @@
             while (stop < end && bytes[stop] != ',') {
                 stop++;
             }
-            addField(bytes, position, stop, fields);
+            addField(bytes, position, stop, all, fields);
             position = stop + 1;
         }
         return fields;
     }
 
-    private static void addField(byte[] bytes, int start, int end, Map<String, Field> fields) throws MalformedException {
+    private static void addField(byte[] bytes, int start, int end, boolean all, Map<String, Field> fields)
+            throws MalformedException {
         int first = skipSpace(bytes, start, end);
         int last = end;
         while (last > first && isSpace(bytes[last - 1])) {
@@ -195,8 +198,8 @@
         while (equals < last && bytes[equals] != '=') {
             equals++;
         }
-        if (equals == last) {
-            return; // not a name=value pair: ignored like an unknown name
+        if (equals == last || !all && !isRoutingField(bytes, first, equals)) {
+            return; // what is no name=value pair is ignored like an unknown name
         }
         String name = new String(bytes, first, equals - first, StandardCharsets.UTF_8);
         String value = new String(bytes, equals + 1, last - equals - 1, StandardCharsets.UTF_8);
@@ -205,6 +208,15 @@
         }
     }
 
+    private static boolean isRoutingField(byte[] bytes, int start, int end) {
+        for (String name : ROUTING_FIELDS) {
+            if (name.length() == end - start && startsWith(bytes, start, name)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static Field required(String name, Map<String, Field> fields) throws MalformedException {
         Field field = fields.get(name);
         if (field == null || field.value().isEmpty()) {
--- a/router/src/test/java/ledgewall/pg/StatementTest.java
+++ b/router/src/test/java/ledgewall/pg/StatementTest.java
@@ -7,6 +7,8 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import ledgewall.standin.Wire;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -82,13 +84,36 @@
     /** Guards against memory that grows with the number of a comment's fields, beyond its bytes. */
     @Test
     void takesNoMoreMemoryForManyShortFieldsThanForFewLongOnes() throws Statement.MalformedException {
+        String fields = manyFields();
+        long many = retainedBytes("/* " + fields + " */ SELECT 1");
+        long few = retainedBytes("/* " + FIELDS + ",f=" + "x".repeat(fields.length() - FIELDS.length() - 3) + " */ SELECT 1");
+        assertTrue(many < 1.5 * few, many + " bytes, not " + few);
+    }
+
+    private static String manyFields() {
         StringBuilder fields = new StringBuilder(FIELDS);
         for (int i = 0; fields.length() < 1_900; i++) {
             fields.append(",f").append(Integer.toString(i, Character.MAX_RADIX)).append('=');
         }
-        long many = retainedBytes("/* " + fields + " */ SELECT 1");
-        long few = retainedBytes("/* " + FIELDS + ",f=" + "x".repeat(fields.length() - FIELDS.length() - 3) + " */ SELECT 1");
-        assertTrue(many < 1.5 * few, many + " bytes, not " + few);
+        return fields.toString();
+    }
+
+    /** Guards against garbage for each field that a client invents: a crowd of such requests occupies the I/O thread. */
+    @Test
+    void allocatesNothingForFieldsThatRoutingDoesNotNeed() throws Statement.MalformedException {
+        byte[] few = Wire.query("/* " + FIELDS + " */ SELECT 1");
+        byte[] many = Wire.query("/* " + manyFields() + " */ SELECT 1");
+        allocatedBytes(few); // loads what parsing needs
+        allocatedBytes(many);
+        assertEquals(allocatedBytes(few), allocatedBytes(many));
+    }
+
+    private static long allocatedBytes(byte[] query) throws Statement.MalformedException {
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long thread = Thread.currentThread().getId();
+        long before = threads.getThreadAllocatedBytes(thread);
+        Statement.parse(query);
+        return threads.getThreadAllocatedBytes(thread) - before;
     }
 
     private static long retainedBytes(String sql) throws Statement.MalformedException {
