Count a request as eight commands in a connection's share of a turn

Seen in HostileClientsTest: beside 200 and 500 clients that each pipeline 64 reads, 50 ordinary ones were answered after up to 739 and 1,251 ms. Cause: a turn was bounded in commands, of which a request, with the policy's decision on it, takes many times as long as an empty query; a turn of 1,024 requests lasts a tenth of a second and more. Change: a request counts as eight commands: 16 of one connection and 128 of all in a turn, and as many every 5 ms of those put off.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -233,7 +233,7 @@
         }
         processingQueue = true;
         while (!closed && !queuedCommands.isEmpty() && hasCapacity()) {
-            if (!quota.take()) {
+            if (!quota.take(queuedCommands.peek().isRequest())) {
                 context.loop().inputScheduler().defer(this);
                 break;
             }
@@ -260,7 +260,7 @@
         context.counters().add(Counters.Count.QUEUES_SHED);
         LOG.debug("event=queue_shed bytes={} in_hand={} waiting={}", queuedCommands.heapBytes(), requestsInHand,
             answerSlots.size());
-        while (!closed && queuedCommands.heapBytes() > MAX_QUEUED_BYTES && quota.take()) {
+        while (!closed && queuedCommands.heapBytes() > MAX_QUEUED_BYTES && quota.take(false)) {
             refuseNextCommand();
         }
         if (queuedCommands.heapBytes() > MAX_QUEUED_BYTES || answerSlots.size() > MAX_WAITING_ANSWERS) {
--- a/router/src/main/java/ledgewall/net/CommandQueue.java
+++ b/router/src/main/java/ledgewall/net/CommandQueue.java
@@ -34,6 +34,10 @@
         }
     }
 
+    Command peek() {
+        return commands.peek();
+    }
+
     Command poll() {
         Command command = commands.poll();
         heapBytes -= command.heapBytes();
--- a/router/src/main/java/ledgewall/net/InputScheduler.java
+++ b/router/src/main/java/ledgewall/net/InputScheduler.java
@@ -6,8 +6,8 @@
 /**
  * Shares each turn of the event loop between the connections that have commands queued, so that what one client sends delays
  * neither other clients nor timers and the policy. In one turn a connection processes {@link #COMMANDS_PER_CONNECTION} commands
- * at most, and all of them together {@link #COMMANDS_PER_TURN}, which bounds the turn whatever is queued. What is left waits
- * for later turns, one connection after the other. Such turns are {@link #DEFERRED_INTERVAL_NANOS} apart, so that floods leave
+ * at most, and all of them together {@link #COMMANDS_PER_TURN}, which bounds the turn whatever is queued; a request, which the
+ * policy has to decide on, counts as {@link #COMMANDS_PER_REQUEST}. What is left waits for later turns, one connection after the other. Such turns are {@link #DEFERRED_INTERVAL_NANOS} apart, so that floods leave
  * processor time for everything else.
  */
 final class InputScheduler {
@@ -16,6 +16,8 @@
     /** Commands of all connections in one turn, which they take a few milliseconds to process. */
     static final int COMMANDS_PER_TURN = 1_024;
 
+    /** A request takes about as long as this many commands that are answered at once. */
+    static final int COMMANDS_PER_REQUEST = 8;
     /** Time between turns that process commands which earlier ones have put off. */
     static final long DEFERRED_INTERVAL_NANOS = Clock.millisToNanos(5);
 
@@ -42,8 +44,8 @@
         private long countedTurn;
         private int used;
 
-        /** Takes one command from the quota; false if the connection has to wait for a later turn. */
-        boolean take() {
+        /** Takes a command from the quota; false if the connection has to wait for a later turn. */
+        boolean take(boolean isRequest) {
             if (countedTurn != turn) {
                 countedTurn = turn;
                 used = 0;
@@ -51,8 +53,9 @@
             if (used >= COMMANDS_PER_CONNECTION || commandsLeft <= 0) {
                 return false;
             }
-            used++;
-            commandsLeft--;
+            int cost = isRequest ? COMMANDS_PER_REQUEST : 1;
+            used += cost;
+            commandsLeft -= cost;
             counters.add(Counters.Count.COMMANDS);
             return true;
         }
--- a/router/src/test/java/ledgewall/net/ConnectionFixture.java
+++ b/router/src/test/java/ledgewall/net/ConnectionFixture.java
@@ -59,6 +59,15 @@
         loop.inputScheduler().startTurn();
     }
 
+    /** Runs further turns until no command waits for one. */
+    void runDeferred() {
+        while (loop.inputScheduler().hasDeferred()) {
+            time.addAndGet(InputScheduler.DEFERRED_INTERVAL_NANOS);
+            loop.inputScheduler().startTurn();
+            loop.inputScheduler().runDeferred(time.get());
+        }
+    }
+
     /** Reads bytes as the I/O thread does, and returns the task that it queues for the event loop. */
     Runnable read(byte[] bytes) {
         return connection.receive(ByteBuffer.wrap(bytes), clock.now(), session);
