--- a/router/src/main/java/ledgewall/net/InputScheduler.java
+++ b/router/src/main/java/ledgewall/net/InputScheduler.java
@@ -7,8 +7,8 @@
  * Shares each turn of the event loop between the connections that have commands queued, so that what one client sends delays
  * neither other clients nor timers and the policy. In one turn a connection processes {@link #COMMANDS_PER_CONNECTION} commands
  * at most, and all of them together {@link #COMMANDS_PER_TURN}, which bounds the turn whatever is queued; a request, which the
- * policy has to decide on, counts as {@link #COMMANDS_PER_REQUEST}. What is left waits for later turns, one connection after the other. Such turns are {@link #DEFERRED_INTERVAL_NANOS} apart, so that floods leave
- * processor time for everything else.
+ * policy has to decide on, counts as {@link #COMMANDS_PER_REQUEST}. What is left waits for later turns, one connection after
+ * the other. Such turns are {@link #DEFERRED_INTERVAL_NANOS} apart, so that floods leave processor time for everything else.
  */
 final class InputScheduler {
     /** Commands of one connection in one turn; more than an ordinary client pipelines. */
--- a/router/src/main/java/ledgewall/net/RequestIds.java
+++ b/router/src/main/java/ledgewall/net/RequestIds.java
@@ -19,7 +19,7 @@
  */
 final class RequestIds {
     /** Ids of each kind at most; they take a few megabytes. */
-    static final int MAX_IDS = 16_384;
+    static final int MAX_IDS = 8_192;
     /** Held ids of one connection at most, so that one client cannot take all places. */
     static final int MAX_HELD_BY_CONNECTION = MAX_IDS / 8;
     /** How long an id is held at most: clients wait for seconds, and invented deadlines must not take the places for a day. */
--- a/router/src/test/java/ledgewall/fleet/HostileClientsTest.java
+++ b/router/src/test/java/ledgewall/fleet/HostileClientsTest.java
@@ -99,7 +99,8 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"empty queries", "syncs", "extended queries", "unknown classes", "reads with new ids", "large queries"})
+    @ValueSource(strings = {
+        "empty queries", "syncs", "extended queries", "unknown classes", "reads with new ids", "large queries"})
     void floodOfOneKindOfCommandDelaysNoOtherClient(String kind) throws Exception {
         lateAnswers(10); // compiles what a request passes
         try (HostileClients hostile = new HostileClients(router.address())) {
@@ -316,7 +317,8 @@
     void crowdThatWritesLargeRequestsSlowlyTakesNoMoreMemoryThanThereIs(int sockets, int clients)
             throws IOException, InterruptedException {
         restart(sockets);
-        byte[] query = Wire.query("/* id=" + HostileClients.newId() + ",c=put,d=1000,cluster=0 */ SELECT '" + "x".repeat(120_000));
+        byte[] query = Wire.query(
+            "/* id=" + HostileClients.newId() + ",c=put,d=1000,cluster=0 */ SELECT '" + "x".repeat(120_000));
         try (HostileClients hostile = new HostileClients(router.address())) {
             List<Client> slow = new ArrayList<>();
             for (int i = 0; i < clients; i++) {
