--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# A router that starts while discovery is slow never learns of a drain. Exit: 1 broken, 0 held, 2 not run. TROUBLE=0: no disruption.
+# A drain is missed for too long after an outage of discovery. Exit: 1 broken, 0 held, 2 not run. TROUBLE=0: no disruption.
 cd "$(dirname "$0")/../.." || exit 2
-[ -f target/ledgewall.jar ] && [ -f review/standins-2/target/SlowDiscoveryCase.class ] || { echo "build first" >&2; exit 2; }
-exec java -Xmx256m -cp review/standins-2/target SlowDiscoveryCase review/10
+[ -f target/ledgewall.jar ] && [ -f review/standins-2/target/DrainAfterOutageCase.class ] || { echo "build first" >&2; exit 2; }
+exec java -Xmx256m -cp review/standins-2/target DrainAfterOutageCase review/10
