Check each send again when its connection is ready, and on the I/O thread

Cause: the policy compared the window, the age of data, drains and the slow-start budget with the moment of its decision. The bytes left when the connection was up, up to the connect time-out later, and only the end of the request was looked at again.

Change: SendRules holds what every send has to keep. RoutingPolicy.confirmSend asks it once more when the connection is ready, and returns the latest time of the last byte; WriteDeadline has the I/O thread close the connection instead of writing after it. A withdrawn send had no effect and is routed again at once.

--- a/core/src/main/java/ledgewall/Freshness.java
+++ b/core/src/main/java/ledgewall/Freshness.java
@@ -30,11 +30,20 @@
 
     boolean isEligible(Request request, Member member, long now) {
         long bound = request.requestClass.stalenessBound();
-        return member == request.group.primary || switch (request.requestClass.consistency()) {
-            case ANY, WRITE -> true;
-            case FRESH, SESSION -> member.position >= request.requiredPosition;
-            case BOUNDED -> member.position >= now - bound || lag(member, now) < NEAR_BOUND * bound
-                || allowsUnknownPosition(request) && !hasRecentPosition(member, now) && !refusedStaleReadRecently(member, now);
+        return now <= eligibleUntil(request, member, now) || request.requestClass.consistency() == Consistency.BOUNDED
+            && (lag(member, now) < NEAR_BOUND * bound
+            || allowsUnknownPosition(request) && !hasRecentPosition(member, now) && !refusedStaleReadRecently(member, now));
+    }
+
+    /** Until when the member's known position proves that its data is new enough for a read; before {@code now} if it does not. */
+    long eligibleUntil(Request request, Member member, long now) {
+        if (member == request.group.primary) {
+            return Long.MAX_VALUE;
+        }
+        return switch (request.requestClass.consistency()) {
+            case ANY, WRITE -> Long.MAX_VALUE;
+            case FRESH, SESSION -> member.position >= request.requiredPosition ? Long.MAX_VALUE : Long.MIN_VALUE;
+            case BOUNDED -> member.position + request.requestClass.stalenessBound();
         };
     }
 
--- a/core/src/main/java/ledgewall/ReplicaRoutingPolicy.java
+++ b/core/src/main/java/ledgewall/ReplicaRoutingPolicy.java
@@ -94,6 +94,7 @@
     private final Set<Group> groupsToResume = new LinkedHashSet<>();
     private final Freshness freshness;
     private final SlowStart slowStart;
+    private final SendRules sendRules;
     private ProbeScheduler probeScheduler;
     /** The position of the last write of each session, oldest session first. */
     private final Map<Long, Long> lastWritePositions = new LinkedHashMap<>();
@@ -121,6 +122,7 @@
         this.freshness = new Freshness(settings, sharesObservations);
         this.slowStart = new SlowStart(settings);
         this.tickInterval = Math.max(2 * settings.tickInterval(), 10 * MS);
+        this.sendRules = new SendRules(settings, freshness, slowStart, tickInterval);
         this.remembersWrites = settings.classes().stream().anyMatch(c -> c.consistency() == Consistency.SESSION);
         this.firstTryTimeLeft = settings.classes().stream().mapToLong(RequestClass::timeout).toArray();
         this.meanLatency = settings.classes().stream().mapToDouble(c -> c.latencyTarget() / 4.0).toArray();
@@ -152,6 +154,14 @@
         return actions;
     }
 
+    @Override
+    public long confirmSend(long time, long requestId, int attemptNumber) {
+        Request request = requests.get(requestId);
+        boolean known = request != null && attemptNumber < request.attempts.size();
+        Attempt attempt = known ? request.attempts.get(attemptNumber) : null;
+        return attempt == null ? SendRules.NOT_PERMITTED : sendRules.confirm(attempt, relativeWork(request), time);
+    }
+
     private void start() {
         startedAt = nextTick = now;
         subscribeAt = settings.subscribesToList() ? now : Long.MAX_VALUE;
@@ -580,26 +590,10 @@
         return now >= attempt.sentAt() + LOST_AFTER_TARGETS * attempt.request().requestClass.latencyTarget();
     }
 
-    // ---- Checks that every send has to pass
+    // ---- Sending
 
     private boolean isPermitted(Request request, Member member) {
-        boolean maySend = !request.finished && request.currentAttempt == null && !request.answerStarted
-            && now < request.sendDeadline && request.attempts.size() < settings.limits().maxAttempts();
-        boolean serving = member.group == request.group && member.phase == Phase.SERVING;
-        boolean freshEnough = settings.replication().staleReadHandling() != StaleReadHandling.SERVES
-            || freshness.isEligible(request, member, now);
-        return maySend && serving && freshEnough && (request.possiblyExecuted == null || mayRepeat(request, member))
-            && slowStart.isWithinBudget(member, relativeWork(request), now);
-    }
-
-    private boolean mayRepeat(Request request, Member member) {
-        Attempt first = request.possiblyExecuted;
-        return switch (request.requestClass.retrySafety()) {
-            case IDEMPOTENT -> true;
-            case AT_MOST_ONCE -> false;
-            case DEDUPLICATED -> now < first.sentAt() + request.requestClass.deduplicationWindow() - tickInterval
-                && (request.requestClass.deduplicationScope() != DeduplicationScope.ZONE || member.zone == first.member().zone);
-        };
+        return sendRules.permits(request, member, relativeWork(request), now);
     }
 
     /** The expected work of a request, in units of the mean over all request classes. */
@@ -618,7 +612,7 @@
         member.attemptsInFlight.add(attempt);
         membersWithAttempts.add(member);
         member.lastSentAt = now;
-        slowStart.onSent(member, relativeWork(request), now);
+        slowStart.onSent(attempt, relativeWork(request), now);
         member.lastTrialAt = member.suspectSince != NONE || member.unreachable ? now : member.lastTrialAt;
         actions.add(new Send(request.id(), member.id, request.deadline - now));
         return true;
@@ -629,6 +623,10 @@
     private void continueAfter(Request request, Attempt attempt, Outcome outcome) {
         switch (outcome.result()) {
             case NOT_CONNECTED, REJECTED -> requestsToRoute.add(request);
+            case WITHDRAWN -> {
+                request.triedMembers.remove(attempt.member()); // nothing is wrong with it, and it may be permitted again
+                requestsToRoute.add(request);
+            }
             case MISDIRECTED -> {
                 if (request.requestClass.consistency() == Consistency.WRITE) {
                     updateRole(attempt.member(), Role.REPLICA, now);
--- a/core/src/main/java/ledgewall/RoutingPolicy.java
+++ b/core/src/main/java/ledgewall/RoutingPolicy.java
@@ -16,6 +16,15 @@
     /** Processes the events that occurred by {@code now}, in order, and returns the actions to carry out at {@code now}. */
     List<Action> decide(long now, List<Event> events);
 
+    /**
+     * Asked when the connection of an attempt is ready, right before its request is written, since that can be long after the
+     * decision to send. Returns the latest time at which the last byte may be written. If that is before {@code now}, the
+     * request is not written, and the attempt ends as {@link Result#WITHDRAWN}. A policy without such limits permits every write.
+     */
+    default long confirmSend(long now, long request, int attempt) {
+        return Long.MAX_VALUE;
+    }
+
     /** Creates the policy of a router that has just started. */
     interface Factory {
         RoutingPolicy create(Settings settings, long seed);
@@ -52,11 +61,12 @@
     enum ListKind { DELTA, FULL, CACHED, FAILED }
 
     /**
-     * How an attempt or a probe ended. {@code REJECTED}: by the member's overload protection, without executing it;
+     * How an attempt or a probe ended. {@code WITHDRAWN}: {@link #confirmSend} did not permit the write, and nothing was sent;
+     * {@code REJECTED}: by the member's overload protection, without executing it;
      * {@code NEVER_SENT}: the router did not send it; {@code MISDIRECTED}: refused without executing it, as the member is not the
      * primary or is too far behind for the read.
      */
-    enum Result { OK, ERROR, REJECTED, TIMED_OUT, NOT_CONNECTED, RESET, CANCELLED, NEVER_SENT, MISDIRECTED }
+    enum Result { OK, ERROR, REJECTED, TIMED_OUT, NOT_CONNECTED, RESET, CANCELLED, NEVER_SENT, MISDIRECTED, WITHDRAWN }
 
     /**
      * The settings that a router receives at its start.
--- a/core/src/main/java/ledgewall/SlowStart.java
+++ b/core/src/main/java/ledgewall/SlowStart.java
@@ -19,7 +19,7 @@
     static final long LIST_DELAY = 5 * NANOS_PER_SECOND;
 
     /** Work that was sent to a cold member at {@code at}, in units of the mean work of a request. */
-    record ColdSend(long at, double work) { }
+    record ColdSend(Attempt attempt, long at, double work) { }
 
     private final Settings settings;
     private final Constraints constraints;
@@ -50,8 +50,22 @@
         return member.coldSends.stream().mapToDouble(ColdSend::work).sum() + work <= share + rounding % 1 * work;
     }
 
-    void onSent(Member member, double work, long now) {
-        member.coldSends.add(new ColdSend(now, work));
+    void onSent(Attempt attempt, double work, long now) {
+        attempt.member().coldSends.add(new ColdSend(attempt, now, work));
+    }
+
+    /**
+     * Counts an attempt at the time at which it is written, as the decision to send it may be older. Returns false, and counts
+     * it no more, if the member's budget does not allow it then: the member may have become cold meanwhile.
+     */
+    boolean confirmSend(Attempt attempt, double work, long now) {
+        Member member = attempt.member();
+        member.coldSends.removeIf(send -> send.attempt() == attempt);
+        boolean allowed = isWithinBudget(member, work, now);
+        if (allowed) {
+            onSent(attempt, work, now);
+        }
+        return allowed;
     }
 
     /** Adds to the member's served rate, and to its kind's if the member is counted there. */
--- a/router/src/main/java/ledgewall/net/Attempt.java
+++ b/router/src/main/java/ledgewall/net/Attempt.java
@@ -6,6 +6,9 @@
 final class Attempt implements Exchange {
     /** Receives an attempt's answer and its outcome. */
     interface Listener {
+        /** The latest time at which the attempt's request may be written; before {@code at} if it may not. */
+        long latestWrite(Attempt attempt, long at);
+
         /** The complete row has been received, before the end of the reply. */
         void answerReceived(Attempt attempt, Reply reply);
 
@@ -81,6 +84,11 @@
         return !request.isEnded();
     }
 
+    @Override
+    public long latestWrite(long at) {
+        return listener.latestWrite(this, at);
+    }
+
     @Override
     public void started(long at) {
         // the attempt's time is measured from sentAt and includes the time to connect
@@ -105,6 +113,13 @@
         listener.attemptEnded(this, outcome, reply, endedAt);
     }
 
+    /** Has the attempt not be sent, unless that has happened: its request has ended. */
+    void withdrawUnwritten() {
+        if (!ended && connection != null) {
+            connection.withdrawUnwritten();
+        }
+    }
+
     /** Ends the attempt and closes its connection. A complete answer that has been received determines the outcome. */
     void abort(AttemptOutcome reason, long endedAt) {
         if (ended) {
--- a/router/src/main/java/ledgewall/net/AttemptOutcome.java
+++ b/router/src/main/java/ledgewall/net/AttemptOutcome.java
@@ -35,6 +35,8 @@
     STRAY_ANSWER(Result.RESET),
     TIMED_OUT(Result.TIMED_OUT),
     GIVEN_UP(Result.CANCELLED),
+    /** The policy did not permit the write any more when the connection was ready, or the I/O thread came to it too late. */
+    WITHDRAWN(Result.WITHDRAWN),
     /** The request had ended, or its deadline or number of attempts was reached, before anything was sent. */
     NEVER_SENT(Result.NEVER_SENT);
 
--- a/router/src/main/java/ledgewall/net/ClientRequest.java
+++ b/router/src/main/java/ledgewall/net/ClientRequest.java
@@ -82,5 +82,6 @@
         if (overdueTimer != null) {
             overdueTimer.cancel();
         }
+        attempts.forEach(Attempt::withdrawUnwritten);
     }
 }
--- a/router/src/main/java/ledgewall/net/DrainBeforeResetProcessor.java
+++ b/router/src/main/java/ledgewall/net/DrainBeforeResetProcessor.java
@@ -11,12 +11,13 @@
 import org.apache.mina.transport.socket.nio.NioSession;
 
 /**
- * An I/O processor that differs from MINA's in five ways. It reads nothing from a connection whose {@link ReadGate} is closed.
+ * An I/O processor that differs from MINA's in six ways. It reads nothing from a connection whose {@link ReadGate} is closed.
  * It delivers the data received before a reset: MINA reads a socket until nothing is left, and if a reset occurs there it
  * discards what the same pass has read, so that a complete answer would be treated as a broken one. It suspends and resumes
  * reads on its own thread and leaves write interest unchanged: MINA changes both from the caller's thread, in a race with its
  * own, and loses a partial write, so that answers to a client could stop for good. A caller can wait until all data received
- * so far has been read, or have a task run then. And it runs a task before each selection.
+ * so far has been read, or have a task run then. It runs a task before each
+ * selection. And it writes nothing to a connection whose {@link WriteDeadline} is over, but closes it.
  */
 final class DrainBeforeResetProcessor extends NioProcessor {
     /** The first pass may have selected its sockets before the call; the second covers all of them. */
@@ -28,6 +29,10 @@
     /** The session's attribute that holds its {@link ReadGate}, if it has one. */
     static final String READ_GATE_ATTRIBUTE = "ledgewall.read-gate";
 
+    /** The session's attribute that holds its {@link WriteDeadline}, if it has one. */
+    static final String WRITE_DEADLINE_ATTRIBUTE = "ledgewall.write-deadline";
+
+    private final Clock clock;
     private final Queue<NioSession> readInterestChanges = new ConcurrentLinkedQueue<>();
     private final Runnable onSelectPass;
     private final Queue<PassTask> passTasks = new ConcurrentLinkedQueue<>();
@@ -37,8 +42,9 @@
     private record PassTask(long pass, Runnable task) { }
 
     /** Creates a processor that runs {@code onSelectPass} on its thread before each selection, at least once a second. */
-    DrainBeforeResetProcessor(Executor executor, Runnable onSelectPass) {
+    DrainBeforeResetProcessor(Executor executor, Clock clock, Runnable onSelectPass) {
         super(executor);
+        this.clock = clock;
         this.onSelectPass = onSelectPass;
     }
 
@@ -59,6 +65,16 @@
         }
     }
 
+    @Override
+    protected int write(NioSession session, IoBuffer buffer, int length) throws IOException {
+        WriteDeadline deadline = (WriteDeadline) session.getAttribute(WRITE_DEADLINE_ATTRIBUTE);
+        if (deadline != null && !deadline.permitsWrite(clock.now())) {
+            session.closeNow();
+            return 0;
+        }
+        return super.write(session, buffer, length);
+    }
+
     @Override
     public void updateTrafficControl(NioSession session) {
         readInterestChanges.add(session);
--- a/router/src/main/java/ledgewall/net/Endpoint.java
+++ b/router/src/main/java/ledgewall/net/Endpoint.java
@@ -27,4 +27,9 @@
     default ReadGate readGate() {
         return null;
     }
+
+    /** Until when the I/O thread may write what it has been handed, or null for any time. */
+    default WriteDeadline writeDeadline() {
+        return null;
+    }
 }
--- a/router/src/main/java/ledgewall/net/EventLoop.java
+++ b/router/src/main/java/ledgewall/net/EventLoop.java
@@ -95,6 +95,11 @@
         actionHandler = handler;
     }
 
+    /** Asks the policy until when a request may be written, on the loop's thread: see {@link RoutingPolicy#confirmSend}. */
+    long confirmSend(long at, long request, int attempt) {
+        return policy.confirmSend(at, request, attempt);
+    }
+
     /** Sets the task that queues all input received so far; to be called before the loop runs. */
     void setInputReader(Runnable reader) {
         inputReader = reader;
--- a/router/src/main/java/ledgewall/net/Exchange.java
+++ b/router/src/main/java/ledgewall/net/Exchange.java
@@ -12,6 +12,14 @@
         return true;
     }
 
+    /**
+     * The latest time at which the query's last byte may be written, asked at time {@code at}, just before the write; before
+     * {@code at} if the query must not be written any more.
+     */
+    default long latestWrite(long at) {
+        return Long.MAX_VALUE;
+    }
+
     /** Called when the query is about to be written. */
     void started(long at);
 
--- a/router/src/main/java/ledgewall/net/HostConnection.java
+++ b/router/src/main/java/ledgewall/net/HostConnection.java
@@ -44,6 +44,8 @@
     private Exchange exchange;
     private Reply reply = new Reply();
     private final QueryBarrier barrier = new QueryBarrier();
+    /** Until when the current query may be written. */
+    private final WriteDeadline writeDeadline = new WriteDeadline();
     /** Whether the current query has been written to its last byte. */
     private boolean queryWritten;
     /** Whether the exchange has been told that the answer's row is complete. */
@@ -100,26 +102,44 @@
 
     private void sendQuery() {
         if (!exchange.isStillWanted()) {
-            returnUnused();
+            returnUnused(AttemptOutcome.NEVER_SENT);
+            return;
+        }
+        long now = context.clock().now();
+        long latestWrite = exchange.latestWrite(now);
+        if (latestWrite < now) {
+            returnUnused(AttemptOutcome.WITHDRAWN);
             return;
         }
         state = State.BUSY;
         reply = new Reply();
         queryWritten = false;
         servedNotified = false;
-        long now = context.clock().now();
         exchange.started(now);
+        writeDeadline.set(latestWrite);
         context.transport().write(session, exchange.query(now));
     }
 
-    /** Makes the connection available to other exchanges; its own has waited for it until nobody wanted it any more. */
-    private void returnUnused() {
+    /** Has the current query not be written, if the I/O thread has not written all of it: nobody wants it any more. */
+    void withdrawUnwritten() {
+        if (state == State.BUSY && !queryWritten) {
+            writeDeadline.expire();
+        }
+    }
+
+    /** Makes the connection available to other exchanges; its own has waited for it until it must not be sent any more. */
+    private void returnUnused(AttemptOutcome reason) {
         Exchange unwanted = exchange;
         exchange = null;
         state = State.IDLE;
         idleSince = context.loop().now();
         onIdle.accept(this);
-        unwanted.ended(AttemptOutcome.NEVER_SENT, new Reply(), idleSince);
+        unwanted.ended(reason, new Reply(), idleSince);
+    }
+
+    @Override
+    public WriteDeadline writeDeadline() {
+        return writeDeadline;
     }
 
     @Override
@@ -218,6 +238,7 @@
             state = State.IDLE;
             queryWritten = false;
             idleSince = context.loop().now();
+            writeDeadline.clear();
             context.transport().write(session, barrier.begin(reply));
             onIdle.accept(this);
             finished.ended(outcomeOfReply(), reply, at);
@@ -250,7 +271,8 @@
 
     @Override
     public void disconnected(long at) {
-        fail(queryWritten ? AttemptOutcome.BROKEN_AFTER_WRITTEN : AttemptOutcome.BROKEN_BEFORE_WRITTEN, at);
+        fail(queryWritten ? AttemptOutcome.BROKEN_AFTER_WRITTEN
+            : writeDeadline.isMissed() ? AttemptOutcome.WITHDRAWN : AttemptOutcome.BROKEN_BEFORE_WRITTEN, at);
     }
 
     /** Closes the connection; its exchange ends with the outcome of its answer if that is complete, else as given. */
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -403,7 +403,12 @@
         }
     }
 
-    // ---- Results of attempts
+    // ---- Progress and results of attempts
+
+    @Override
+    public long latestWrite(Attempt attempt, long at) {
+        return context.loop().confirmSend(at, attempt.request().number(), attempt.number());
+    }
 
     @Override
     public void answerReceived(Attempt attempt, Reply reply) {
--- a/router/src/main/java/ledgewall/net/Transport.java
+++ b/router/src/main/java/ledgewall/net/Transport.java
@@ -48,7 +48,7 @@
 
     /** Accepts connections only while fewer than {@code maxOpenSockets} sockets are open. */
     Transport(Clock clock, EventLoop loop, Counters counters, int maxOpenSockets) {
-        this.processor = new DrainBeforeResetProcessor(ioExecutor, loop::checkForStall);
+        this.processor = new DrainBeforeResetProcessor(ioExecutor, clock, loop::checkForStall);
         this.connector = new NioSocketConnector(processor);
         this.acceptor = new BackpressureAcceptor(processor, () -> openSockets.get() < maxOpenSockets,
             this::notifyAcceptBlocked, nanos -> {
@@ -119,8 +119,10 @@
 
     /** Opens a connection; if that fails, {@code onFailure} runs on the event loop. */
     ConnectFuture connect(InetSocketAddress address, Endpoint endpoint, Runnable onFailure) {
-        ConnectFuture future = connector.connect(address,
-            (session, connectFuture) -> session.setAttribute(ENDPOINT_ATTRIBUTE, endpoint));
+        ConnectFuture future = connector.connect(address, (session, connectFuture) -> {
+            session.setAttribute(ENDPOINT_ATTRIBUTE, endpoint);
+            session.setAttribute(DrainBeforeResetProcessor.WRITE_DEADLINE_ATTRIBUTE, endpoint.writeDeadline());
+        });
         future.addListener(done -> {
             if (!((ConnectFuture) done).isConnected()) {
                 loop.post(onFailure);
--- a/router/src/test/java/ledgewall/net/RouterHarness.java
+++ b/router/src/test/java/ledgewall/net/RouterHarness.java
@@ -29,6 +29,8 @@
     private String peersJson = "";
     private String listen = "127.0.0.1:0";
     private boolean parallelAttempts = true;
+    /** For how long hosts drop repeats of the class 'keyed'; 0 without that class. */
+    private long deduplicationWindowMs;
     /** Without checks by default: scripts of discovery rely on the order of its requests. */
     private MemberListWatcher.Checks listChecks = MemberListWatcher.Checks.DISABLED;
     private Classifier classifier;
@@ -94,6 +96,12 @@
         return this;
     }
 
+    /** Adds a class 'keyed' of writes that hosts deduplicate for this time. */
+    RouterHarness deduplicationWindowMs(long millis) {
+        deduplicationWindowMs = millis;
+        return this;
+    }
+
     RouterHarness listen(String address) {
         listen = address;
         return this;
@@ -117,11 +125,16 @@
             + "\"peers\":" + !peersJson.isEmpty() + ",\"connIdleNs\":" + idleTimeoutMs * MS + ",\"connectTimeoutNs\":"
             + connectTimeoutMs * MS + "},"
             + "\"report\":{\"how\":\"probe\",\"fields\":[\"x0\",\"x1\"]},\"rules\":{\"answerSlackNs\":20000000},"
-            + "\"domain\":{\"needsByClass\":[\"any\",\"write\",\"session\"],\"tokens\":\"carried\"},"
+            + "\"domain\":{\"needsByClass\":[\"any\",\"write\",\"session\"" + (deduplicationWindowMs == 0 ? "" : ",\"write\"") + "],\"tokens\":\"carried\"},"
             + "\"tenants\":[{\"name\":\"acme\"},{\"name\":\"zeta\"}],"
             + "\"classes\":[{\"name\":\"look\",\"aimNs\":300000000,\"deadlineNs\":900000000,\"effect\":\"idempotent\"},"
             + "{\"name\":\"put\",\"aimNs\":300000000,\"deadlineNs\":900000000},"
-            + "{\"name\":\"own\",\"aimNs\":300000000,\"deadlineNs\":900000000,\"effect\":\"idempotent\"}]}}";
+            + "{\"name\":\"own\",\"aimNs\":300000000,\"deadlineNs\":900000000,\"effect\":\"idempotent\"}" + keyedClassJson() + "]}}";
+    }
+
+    private String keyedClassJson() {
+        return deduplicationWindowMs == 0 ? "" : ",{\"name\":\"keyed\",\"aimNs\":600000000,\"deadlineNs\":60000000000,"
+            + "\"effect\":\"deduplicated\",\"group\":\"all\",\"lateValue\":0.5,\"windowNs\":" + deduplicationWindowMs * MS + "}";
     }
 
     /** The number of addresses in 'peers', or 1. */
@@ -131,8 +144,12 @@
     }
 
     Router start(RoutingPolicy policy) throws IOException {
+        return startWith((settings, seed) -> policy);
+    }
+
+    Router startWith(RoutingPolicy.Factory policyFactory) throws IOException {
         RouterConfig config = RouterConfig.parse(config().getBytes(StandardCharsets.UTF_8), "config");
-        router = Router.start(config, (settings, seed) -> policy, listChecks, classifier);
+        router = Router.start(config, policyFactory, listChecks, classifier);
         closeables.add(0, router::close);
         return router;
     }
--- a/router/src/test/java/ledgewall/simhost/SimHostTest.java
+++ b/router/src/test/java/ledgewall/simhost/SimHostTest.java
@@ -33,6 +33,11 @@
             received.addAll(events);
             return actions;
         }
+
+        @Override
+        public long confirmSend(long now, long request, int attempt) {
+            throw new AssertionError("the simulator sends at once");
+        }
     }
 
     private final List<RecordingPolicy> policies = new ArrayList<>();
