--- a/core/src/main/java/ledgewall/Freshness.java
+++ b/core/src/main/java/ledgewall/Freshness.java
@@ -30,13 +30,13 @@
 
     boolean isEligible(Request request, Member member, long now) {
         long bound = request.requestClass.stalenessBound();
-        return now <= eligibleUntil(request, member, now) || request.requestClass.consistency() == Consistency.BOUNDED
+        return now <= eligibleUntil(request, member) || request.requestClass.consistency() == Consistency.BOUNDED
             && (lag(member, now) < NEAR_BOUND * bound
             || allowsUnknownPosition(request) && !hasRecentPosition(member, now) && !refusedStaleReadRecently(member, now));
     }
 
-    /** Until when the member's known position proves that its data is new enough for a read; before {@code now} if it does not. */
-    long eligibleUntil(Request request, Member member, long now) {
+    /** Until when the member's known position proves that its data is new enough for a read; in the past if it does not. */
+    long eligibleUntil(Request request, Member member) {
         if (member == request.group.primary) {
             return Long.MAX_VALUE;
         }
--- a/core/src/main/java/ledgewall/SendRules.java
+++ b/core/src/main/java/ledgewall/SendRules.java
@@ -30,7 +30,7 @@
     boolean permits(Request request, Member member, double work, long now) {
         return !request.finished && request.currentAttempt == null && !request.answerStarted
             && request.attempts.size() < maxAttempts
-            && now < latestWrite(request, member, now)
+            && now < latestWrite(request, member)
             && slowStart.isWithinBudget(member, work, now);
     }
 
@@ -43,15 +43,15 @@
         if (request.finished || request.currentAttempt != attempt) {
             return NOT_PERMITTED;
         }
-        long latestWrite = latestWrite(request, attempt.member(), now);
+        long latestWrite = latestWrite(request, attempt.member());
         return now < latestWrite && slowStart.confirmSend(attempt, work, now) ? latestWrite : NOT_PERMITTED;
     }
 
-    private long latestWrite(Request request, Member member, long now) {
+    private long latestWrite(Request request, Member member) {
         if (member.group != request.group || member.phase != Phase.SERVING) {
             return NOT_PERMITTED;
         }
-        long freshUntil = membersServeStaleReads ? freshness.eligibleUntil(request, member, now) : NO_LIMIT;
+        long freshUntil = membersServeStaleReads ? freshness.eligibleUntil(request, member) : NO_LIMIT;
         return Math.min(request.sendDeadline, Math.min(freshUntil, repeatableUntil(request, member)));
     }
 
@@ -65,8 +65,12 @@
         return switch (requestClass.retrySafety()) {
             case IDEMPOTENT -> NO_LIMIT;
             case AT_MOST_ONCE -> NOT_PERMITTED;
-            case DEDUPLICATED -> requestClass.deduplicationScope() == DeduplicationScope.ZONE && member.zone != first.member().zone
-                ? NOT_PERMITTED : first.sentAt() + requestClass.deduplicationWindow() - tickInterval;
+            case DEDUPLICATED -> discardsDuplicatesOf(first, member, requestClass.deduplicationScope())
+                ? first.sentAt() + requestClass.deduplicationWindow() - tickInterval : NOT_PERMITTED;
         };
     }
+
+    private static boolean discardsDuplicatesOf(Attempt first, Member member, DeduplicationScope scope) {
+        return scope != DeduplicationScope.ZONE || member.zone == first.member().zone;
+    }
 }
