Never close a client over answers that it takes; bound memory where answers come in

Cause: the limit on memory for clients was kept by closing the connection with the most bytes, and bytes on their way from the event loop to the I/O thread counted as bytes that the client does not take. An answer of a member was kept whatever its size.

AnswerWriter knows for how long a client has taken nothing; only such a client is closed over its answers, also for a descriptor. A closing connection stays counted until its answers are written.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Map;
@@ -89,8 +88,8 @@
     private final IncompleteMessage incompleteMessage = new IncompleteMessage();
     private final InputScheduler.Quota quota;
     private final RequestIds.Share idShare = new RequestIds.Share();
-    /** Answers that are ready to be written, in order; written together at the end of a turn's commands. */
-    private final List<byte[]> unwrittenAnswers = new ArrayList<>();
+    /** Answers that are ready, in order; written together at the end of a turn's commands. */
+    private final AnswerWriter answerWriter;
     private IoSession session;
     private ClientIdentity client = new ClientIdentity("", "", "");
     /** Null until the event loop has heard of the connection. */
@@ -115,7 +114,6 @@
     private boolean awaitingReads;
     /** Size of the answers that wait for an earlier command's. */
     private int waitingAnswerBytes;
-    private int unsentBytes;
     private boolean commandReceived;
     private int invalidCommands;
     private int encryptionRequests;
@@ -156,20 +154,26 @@
         this.requestHandler = requestHandler;
         this.input = new ClientInput(MAX_MESSAGE_BYTES, requestHandler.acceptsUncommentedStatements(),
             context.bufferedBytes());
+        this.answerWriter = new AnswerWriter(context);
         this.quota = context.loop().inputScheduler().new Quota();
     }
 
     @Override
     public void opened(IoSession newSession) {
         session = newSession;
+        answerWriter.open(session);
         openedAt = context.loop().now();
         admission = requestHandler.admit(this);
     }
 
     @Override
     public void written(int bytes) {
-        unsentBytes -= bytes;
-        processQueued();
+        answerWriter.written(bytes);
+        if (closed) {
+            context.bufferedBytes().set(this, answerWriter.unsentBytes());
+        } else {
+            processQueued();
+        }
     }
 
     @Override
@@ -278,16 +282,10 @@
         }
     }
 
-    /** Writes all answers that are ready in one piece: a write for each would cost a system call and a task for each. */
     private void writeAnswers() {
-        if (closed || unwrittenAnswers.isEmpty()) {
-            return;
+        if (!closed) {
+            answerWriter.flush();
         }
-        byte[] bytes = unwrittenAnswers.size() == 1 ? unwrittenAnswers.get(0)
-            : MessageWriter.join(unwrittenAnswers.toArray(byte[][]::new));
-        unwrittenAnswers.clear();
-        context.counters().add(Counters.Count.CLIENT_WRITES);
-        context.transport().write(session, bytes);
     }
 
     /**
@@ -528,6 +526,12 @@
         }
     }
 
+    /** Fails the connection if it has stalled, and looks at whether the client takes its answers. To be called regularly. */
+    void check(long now) {
+        answerWriter.observeProgress();
+        failIfStalled(now);
+    }
+
     /** When the connection was opened, by the router's clock in nanoseconds. */
     long openedAt() {
         return openedAt;
@@ -544,8 +548,7 @@
             AnswerSlot slot = answerSlots.pollFirst();
             statementBytesInHand -= slot.statementBytes;
             waitingAnswerBytes -= slot.answer.length;
-            unsentBytes += slot.answer.length;
-            unwrittenAnswers.add(slot.answer);
+            answerWriter.add(slot.answer);
             if (closesAfterNextAnswer && (slot.request != null || slot.refused)) {
                 beginClosing();
             }
@@ -570,14 +573,15 @@
 
     /** Whether so many answers wait to be sent that the router processes nothing more of this client. */
     private boolean clientTakesNoAnswers() {
-        return unsentBytes >= MAX_MESSAGE_BYTES;
+        return answerWriter.unsentBytes() >= MAX_MESSAGE_BYTES;
     }
 
     /** Updates the count of the memory that is taken for this client. */
     private void updateBufferedBytes() {
         if (!closed && failure == null) {
             context.bufferedBytes().set(this, readBufferSize + queuedCommands.heapBytes() + statementBytesInHand
-                + requestsInHand * REQUEST_BYTES + answerSlots.size() * ANSWER_SLOT_BYTES + waitingAnswerBytes + unsentBytes);
+                + requestsInHand * REQUEST_BYTES + answerSlots.size() * ANSWER_SLOT_BYTES + waitingAnswerBytes
+                + answerWriter.unsentBytes());
         }
     }
 
@@ -601,10 +605,10 @@
 
     /**
      * Closes the connection to free its descriptor; true if it is closed. It stays open while a command is unanswered, a read is
-     * queued, or an answer is not sent yet, unless the client has not taken that answer for long.
+     * queued, or an answer is not sent yet, unless the client takes nothing.
      */
     boolean closeIfQuiescent() {
-        boolean answersTaken = unsentBytes == 0 || context.loop().now() >= idleSince + COMMAND_TIMEOUT_NANOS;
+        boolean answersTaken = answerWriter.unsentBytes() == 0 || answerWriter.isStalled();
         if (isQuiescent() && answersTaken && stopReadingIfAllIsRead()) {
             close();
         }
@@ -661,16 +665,34 @@
             input.stop();
             session.closeNow();
             handleClosed();
+            context.bufferedBytes().remove(this);
         }
     }
 
+    /** Whether its client takes nothing of the answers that are on their way to it. */
+    boolean isStalled() {
+        return answerWriter.isStalled();
+    }
+
+    /**
+     * Whether memory of the connection can be freed without taking an answer from a client that takes its answers: by answering
+     * its requests at once, by ending it if it holds no request and no answer, or because it is stalled.
+     */
+    boolean canFreeMemory() {
+        boolean endsUnanswered = !closed && answerWriter.unsentBytes() == 0;
+        return holdsRequests() || endsUnanswered || isStalled();
+    }
+
+    private boolean holdsRequests() {
+        return requestsInHand > 0 || queuedCommands.holdsRequests();
+    }
+
     /**
      * Frees the memory of a connection for which too many bytes are buffered: its requests, which wait because of the router or
      * of hosts, are answered at once. It is closed only if it holds none, so that its client reads or writes too slowly.
      */
     void shedBufferedBytes() {
-        if (requestsInHand == 0 && !queuedCommands.holdsRequests()) {
-            context.counters().add(Counters.Count.CUT_OFF);
+        if (!holdsRequests()) {
             cutOff();
             return;
         }
@@ -684,7 +706,13 @@
 
     /** Ends a connection that holds no request; one that is on its way from the I/O thread is refused first. */
     private void cutOff() {
-        if (clientTakesNoAnswers()) {
+        context.counters().add(Counters.Count.CUT_OFF);
+        LOG.debug("event=client_cut_off unsent_bytes={} stalled={} total={}", answerWriter.unsentBytes(), isStalled(),
+            context.bufferedBytes().totalBytes());
+        if (closed) {
+            session.closeNow();
+            context.bufferedBytes().remove(this);
+        } else if (isStalled()) {
             close(); // an error would wait behind the answers
         } else {
             failConnection("too much of the router's memory is taken");
@@ -694,6 +722,7 @@
     @Override
     public void disconnected(long endedAt) {
         handleClosed();
+        context.bufferedBytes().remove(this);
     }
 
     private void handleClosed() {
@@ -701,7 +730,6 @@
             return;
         }
         closed = true;
-        context.bufferedBytes().remove(this);
         context.loop().inputScheduler().remove(this);
         for (AnswerSlot slot : answerSlots) {
             if (slot.request != null) {
@@ -710,7 +738,9 @@
         }
         answerSlots.clear();
         queuedCommands.clear();
-        unwrittenAnswers.clear();
+        requestsInHand = 0;
+        answerWriter.dropPending();
+        context.bufferedBytes().set(this, answerWriter.unsentBytes()); // until the last answers are written
         if (admission != null) {
             requestHandler.connectionClosed(this);
         }
--- a/router/src/main/java/ledgewall/net/CommandQueue.java
+++ b/router/src/main/java/ledgewall/net/CommandQueue.java
@@ -9,6 +9,7 @@
 final class CommandQueue {
     private final Deque<Command> commands = new ArrayDeque<>();
     private int heapBytes;
+    private int requestCount;
 
     /** A command, and when it was received. */
     record Command(ClientMessage message, long receivedAt) {
@@ -31,6 +32,7 @@
             Command command = new Command(message, receivedAt);
             commands.add(command);
             heapBytes += command.heapBytes();
+            requestCount += command.isRequest() ? 1 : 0;
         }
     }
 
@@ -41,6 +43,7 @@
     Command poll() {
         Command command = commands.poll();
         heapBytes -= command.heapBytes();
+        requestCount -= command.isRequest() ? 1 : 0;
         return command;
     }
 
@@ -50,7 +53,7 @@
 
     /** Whether a request is among the commands. */
     boolean holdsRequests() {
-        return commands.stream().anyMatch(Command::isRequest);
+        return requestCount > 0;
     }
 
     /** About how much of the heap the commands take. */
@@ -61,5 +64,6 @@
     void clear() {
         commands.clear();
         heapBytes = 0;
+        requestCount = 0;
     }
 }
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -190,7 +190,7 @@
     /** Fails stalled clients, evicts idle ones over the limit and expires reserved ids. */
     void sweep() {
         long now = context.loop().now();
-        openConnections().forEach(connection -> connection.failIfStalled(now));
+        openConnections().forEach(connection -> connection.check(now));
         closeRefused(MIN_SILENT_NANOS);
         while (clients.size() > context.descriptors().softClientLimit() && evictClient()) {
             continue; // until the number is within the limit, or no other may be evicted
@@ -412,11 +412,25 @@
 
     @Override
     public void answerReceived(Attempt attempt, Reply reply) {
-        if (attempt.request().answer(withReadyForQuery(reply.resultMessages()))) {
+        byte[] answer = withReadyForQuery(reply.resultMessages());
+        if (!context.bufferedBytes().hasRoomForAnswer(answer.length)) {
+            replaceAnswer(attempt, answer.length);
+        } else if (attempt.request().answer(answer)) {
             context.counters().add(Counters.Count.SERVED);
         }
     }
 
+    /** Answers a request with an error in place of a member's answer, for which there is no memory. */
+    private void replaceAnswer(Attempt attempt, int answerBytes) {
+        boolean harmless = attempt.isIdempotent();
+        if (attempt.request().answer(harmless ? refusalMessage(0) : failureMessage("too much of the router's memory is taken"))) {
+            context.counters().add(Counters.Count.ANSWERS_REPLACED);
+            context.counters().add(harmless ? Counters.Count.REFUSED : Counters.Count.FAILED);
+            LOG.debug("event=answer_replaced id={} member={} bytes={} total={}", attempt.request().statement().id(),
+                attempt.member(), answerBytes, context.bufferedBytes().totalBytes());
+        }
+    }
+
     @Override
     public void attemptEnded(Attempt attempt, AttemptOutcome outcome, Reply reply, long endedAt) {
         ClientRequest request = attempt.request();
--- a/router/src/test/java/ledgewall/net/ConnectionFixture.java
+++ b/router/src/test/java/ledgewall/net/ConnectionFixture.java
@@ -45,6 +45,10 @@
         return clock.now();
     }
 
+    void advance(long nanos) {
+        time.addAndGet(nanos);
+    }
+
     /** The memory that the router counts for the connection. */
     long countedMemory() {
         return context.bufferedBytes().totalBytes();
