--- a/router/src/main/java/ledgewall/net/PressureLog.java
+++ b/router/src/main/java/ledgewall/net/PressureLog.java
@@ -17,8 +17,8 @@
     static final long INTERVAL_NANOS = Clock.millisToNanos(5_000);
     private static final Count[] COUNTS = {
         Count.CLIENTS_TURNED_AWAY, Count.SILENT_CLIENTS, Count.EVICTIONS_PUT_OFF, Count.BAD_CLIENTS, Count.CUT_OFF,
-        Count.SHED_FOR_MEMORY, Count.ANSWERS_REPLACED, Count.COMMANDS_DEFERRED, Count.QUEUES_SHED, Count.IDS_EXHAUSTED, Count.OVERDUE, Count.LATE_BATCHES,
-        Count.LOOP_STALLS, Count.FAILED_TASKS, Count.PEER_MESSAGES_DROPPED, Count.ACCEPT_PAUSES
+        Count.SHED_FOR_MEMORY, Count.ANSWERS_REPLACED, Count.COMMANDS_DEFERRED, Count.QUEUES_SHED, Count.IDS_EXHAUSTED,
+        Count.OVERDUE, Count.LATE_BATCHES, Count.LOOP_STALLS, Count.FAILED_TASKS, Count.PEER_MESSAGES_DROPPED, Count.ACCEPT_PAUSES
     };
 
     private final Counters counters;
--- a/router/src/test/java/ledgewall/net/RouterHarness.java
+++ b/router/src/test/java/ledgewall/net/RouterHarness.java
@@ -125,16 +125,20 @@
             + "\"peers\":" + !peersJson.isEmpty() + ",\"connIdleNs\":" + idleTimeoutMs * MS + ",\"connectTimeoutNs\":"
             + connectTimeoutMs * MS + "},"
             + "\"report\":{\"how\":\"probe\",\"fields\":[\"x0\",\"x1\"]},\"rules\":{\"answerSlackNs\":20000000},"
-            + "\"domain\":{\"needsByClass\":[\"any\",\"write\",\"session\"" + (deduplicationWindowMs == 0 ? "" : ",\"write\"") + "],\"tokens\":\"carried\"},"
+            + "\"domain\":{\"needsByClass\":[\"any\",\"write\",\"session\""
+            + (deduplicationWindowMs == 0 ? "" : ",\"write\"") + "],\"tokens\":\"carried\"},"
             + "\"tenants\":[{\"name\":\"acme\"},{\"name\":\"zeta\"}],"
             + "\"classes\":[{\"name\":\"look\",\"aimNs\":300000000,\"deadlineNs\":900000000,\"effect\":\"idempotent\"},"
             + "{\"name\":\"put\",\"aimNs\":300000000,\"deadlineNs\":900000000},"
-            + "{\"name\":\"own\",\"aimNs\":300000000,\"deadlineNs\":900000000,\"effect\":\"idempotent\"}" + keyedClassJson() + "]}}";
+            + "{\"name\":\"own\",\"aimNs\":300000000,\"deadlineNs\":900000000,\"effect\":\"idempotent\"}"
+            + keyedClassJson() + "]}}";
     }
 
     private String keyedClassJson() {
-        return deduplicationWindowMs == 0 ? "" : ",{\"name\":\"keyed\",\"aimNs\":600000000,\"deadlineNs\":60000000000,"
-            + "\"effect\":\"deduplicated\",\"group\":\"all\",\"lateValue\":0.5,\"windowNs\":" + deduplicationWindowMs * MS + "}";
+        return deduplicationWindowMs == 0 ? ""
+            : ",{\"name\":\"keyed\",\"aimNs\":600000000,\"deadlineNs\":60000000000,"
+            + "\"effect\":\"deduplicated\",\"group\":\"all\",\"lateValue\":0.5,\"windowNs\":"
+            + deduplicationWindowMs * MS + "}";
     }
 
     /** The number of addresses in 'peers', or 1. */
