End a planned stop only once the last answers are written

What callers saw: a client that took large answers slowly lost the rest of them when the router stopped.

Cause: a connection that closes behind its answers no longer counted as a client's, so that the router ended 10 to 30 ms later and dropped what the I/O thread had not written.

Test: DrainTest.routerEndsOnlyOnceTheLastAnswersAreTaken, which failed before (the stream ended before the last answer).

--- a/router/src/main/java/ledgewall/net/BufferedBytes.java
+++ b/router/src/main/java/ledgewall/net/BufferedBytes.java
@@ -89,4 +89,9 @@
     long totalBytes() {
         return totalBytes;
     }
+
+    /** Whether anything is buffered: for connections that are closing, answers that are not written yet. */
+    boolean holdsAny() {
+        return !bytesByClient.isEmpty();
+    }
 }
--- a/router/src/main/java/ledgewall/net/Router.java
+++ b/router/src/main/java/ledgewall/net/Router.java
@@ -247,13 +247,15 @@
     }
 
     private void shutDownWhenDrained() {
-        if (!dispatcher.hasClients()) {
+        if (!dispatcher.hasClients() && !context.bufferedBytes().holdsAny()) {
             loop.runAfter(FLUSH_NANOS, this::shutDown);
         } else {
             loop.runAfter(FLUSH_NANOS, this::shutDownWhenDrained);
         }
     }
 
+    /** Time allowed for clients to take their last answers, right before the process may be killed. */
+    private static final long LAST_WRITES_NANOS = Clock.millisToNanos(100);
     /** Time allowed for refusing what clients have sent and the router has put off reading. */
     private static final long LAST_ANSWERS_NANOS = Clock.millisToNanos(100);
     /** Time allowed for the kernel to accept the last answers, and the interval at which a drain checks for open clients. */
@@ -264,10 +266,19 @@
         dispatcher.stopReading();
         loop.runAfter(FLUSH_NANOS, () -> {
             dispatcher.closeClients();
-            loop.runAfter(FLUSH_NANOS, () -> {
-                loop.stop();
-                new Thread(this::close, "ledgewall-close").start();
-            });
+            closeOnceWritten(loop.now() + LAST_WRITES_NANOS);
+        });
+    }
+
+    /** Closes the router once all answers are written, at the latest at the given time. */
+    private void closeOnceWritten(long latest) {
+        loop.runAfter(FLUSH_NANOS, () -> {
+            if (context.bufferedBytes().holdsAny() && loop.now() < latest) {
+                closeOnceWritten(latest);
+                return;
+            }
+            loop.stop();
+            new Thread(this::close, "ledgewall-close").start();
         });
     }
 
--- a/router/src/test/java/ledgewall/net/DrainTest.java
+++ b/router/src/test/java/ledgewall/net/DrainTest.java
@@ -22,6 +22,8 @@
 /** A planned stop (drain) answers every request that was accepted. */
 @Timeout(60)
 class DrainTest {
+    private static final long LONGER_THAN_A_FLUSH_MS = 300;
+
     private final RouterHarness harness = new RouterHarness();
 
     @AfterEach
@@ -119,4 +121,26 @@
         assertEquals(queries.length, router.counts().of(Counters.Count.REQUESTS));
         assertEquals(0, router.counts().of(Counters.Count.LAPSED));
     }
+
+    /** Guards against a planned stop that ends the process over answers which a client has begun to take. */
+    @Test
+    void routerEndsOnlyOnceTheLastAnswersAreTaken() throws IOException, InterruptedException {
+        byte[] value = new byte[60 * 1024];
+        harness.host("m", StubServer.host((connection, sql) -> connection.write(Wire.row(value), Wire.ready())));
+        Router router = harness.deduplicationWindowMs(1_000).start(ScriptedPolicy.sendTo("m", 0)); // whose deadline is the longest
+        Client client = harness.client();
+        byte[][] queries = new byte[60][];
+        Arrays.setAll(queries, i -> RouterHarness.lookQuery("" + i));
+        client.send(queries);
+        router.drain();
+        while (!router.sizes().contains("clients 0")) {
+            Thread.sleep(1); // until the router has closed the connection behind its answers
+        }
+        Thread.sleep(LONGER_THAN_A_FLUSH_MS);
+        for (int i = 0; i < queries.length; i++) {
+            assertEquals("TDC", client.readTypesUntilReady(), "query " + i);
+        }
+        assertTrue(client.endOfStream());
+        router.awaitClosed();
+    }
 }
