Ask discovery again in time for a change to be known within 6 s, where lists are asked for

Change: once subscribed, MemberListWatcher keeps the watch here too, as it knows when discovery last gave a sign of life. It asks again at most 4 s after that, which leaves 2 s for the answer; below that the wait doubles from 1 s with jitter, and starts anew once a watch has worked. A move of discovery ends the wait. discovery_silences and event=discovery_answers show silences.

--- a/router/src/main/java/ledgewall/discovery/MemberListWatcher.java
+++ b/router/src/main/java/ledgewall/discovery/MemberListWatcher.java
@@ -35,8 +35,18 @@
     private static final int MIN_PROGRESS_BYTES = 32 * 1024;
     /** Longest time for which the watch at the previous address is kept while the one at the new address sends no list. */
     private static final long ADDRESS_CHANGE_TIMEOUT_NS = 5_000 * NANOS_PER_MILLI;
-    private static final long MIN_BACKOFF_NS = 100 * NANOS_PER_MILLI;
-    private static final long MAX_BACKOFF_NS = 500 * NANOS_PER_MILLI;
+    /** Every change has to be known within this time once discovery can be asked for it. */
+    private static final long CHANGE_KNOWN_WITHIN_NS = 6_000 * NANOS_PER_MILLI;
+    /** The part of that time that is left to discovery for its answer. */
+    private static final long ANSWER_TIME_NS = 2_000 * NANOS_PER_MILLI;
+    /** Longest time between the last sign of life of discovery, or a call that may have got lost, and the next call. */
+    private static final long MAX_ASK_INTERVAL_NS = CHANGE_KNOWN_WITHIN_NS - ANSWER_TIME_NS;
+    /** Where changes are pushed, each second counts, and the discovery agent is asked at no cost to others. */
+    private static final Backoff PUSH_BACKOFF = new Backoff(100 * NANOS_PER_MILLI, 500 * NANOS_PER_MILLI);
+    /** Where lists are asked for, the calls of all routers load discovery. */
+    private static final Backoff ON_DEMAND_BACKOFF = new Backoff(1_000 * NANOS_PER_MILLI, MAX_ASK_INTERVAL_NS);
+    /** Shortest time between two requests for the full list because the revision went back. */
+    private static final long MIN_RESYNC_INTERVAL_NS = 500 * NANOS_PER_MILLI;
     /** Fewest checks between two requests for the full list, which also shows differences that no revision reports. */
     private static final int MIN_CHECKS_PER_FULL_LIST = 5;
     /** Mean rate to which full lists are limited. */
@@ -69,10 +79,14 @@
         public static final Checks DISABLED = new Checks(0);
     }
 
+    /** The shortest and the longest wait before a watch that has failed is opened again; it doubles with each failure. */
+    private record Backoff(long minNs, long maxNs) { }
+
     /** One HTTP request to discovery, on a connection of its own, from opening to closing. */
     public static final class Call {
         private final Purpose purpose;
         private final InetSocketAddress address;
+        private final long openedAt;
         /** The revision from which changes are requested or, later, the newest one received on this call. */
         private long lastRevision;
         private long lastByteAt;
@@ -87,6 +101,7 @@
             this.purpose = purpose;
             this.address = address;
             this.lastRevision = revision;
+            this.openedAt = now;
             this.lastByteAt = now;
             this.incompleteSince = now;
             this.target = asksForChanges() ? PATH + "?follow=1&since=" + revision : PATH;
@@ -133,6 +148,7 @@
     public record FetchFailed() implements Step { }
 
     private final boolean onDemand;
+    private final Backoff backoff;
     private final Checks checks;
     private final SplittableRandom random;
     /** Open calls: a watch, the previous one after a change of address, checks of up to a second each, and fetches. */
@@ -142,7 +158,7 @@
     private List<Step> steps = new ArrayList<>();
     private InetSocketAddress address;
     private long revision;
-    private long backoffNs = MIN_BACKOFF_NS;
+    private long backoffNs;
     private long nextWatchAt = NEVER;
     private long nextCheckAt = NEVER;
     private int checksSinceFullList;
@@ -154,19 +170,23 @@
     /** Whether the revision went back, and the full list that replaces the known one has not arrived. */
     private boolean resyncing;
     private long lastResyncAt;
+    /** Whether the policy has been told that its subscription has failed, and discovery has not answered since. */
+    private boolean failureReported;
     /** Newest revision with a change that a check, not the watch, has delivered. */
     private long checkedRevision = NO_REVISION;
 
     /**
      * Creates a watcher that starts from a known list.
      *
-     * @param onDemand whether discovery is asked only when the policy requests the list
+     * @param onDemand whether discovery is asked only once the policy has subscribed
      * @param seed spreads the calls of routers that start, or lose discovery, at the same moment
      */
     public MemberListWatcher(InetSocketAddress address, ListUpdate list, boolean onDemand, Checks checks, long seed) {
         this.address = address;
         this.revision = list.revision();
         this.onDemand = onDemand;
+        this.backoff = onDemand ? ON_DEMAND_BACKOFF : PUSH_BACKOFF;
+        this.backoffNs = backoff.minNs();
         this.checks = checks;
         this.random = new SplittableRandom(seed);
         this.lastResyncAt = Long.MIN_VALUE / 2;
@@ -182,7 +202,7 @@
         return takeSteps();
     }
 
-    /** Opens the watch, if there is none. */
+    /** Opens the watch, if there is none. From then on a watch that fails is opened again without being asked for. */
     public List<Step> subscribe(long now) {
         openWatch(now);
         return takeSteps();
@@ -203,7 +223,7 @@
             return takeSteps();
         }
         address = newAddress;
-        backoffNs = MIN_BACKOFF_NS;
+        backoffNs = backoff.minNs();
         List.copyOf(openCalls).stream().filter(call -> call != watch).forEach(this::closeCall);
         boolean watching = watch != null || nextWatchAt != NEVER || !onDemand;
         previousWatch = watch;
@@ -230,6 +250,7 @@
             boolean progress = listCompleted || call.bytesSinceProgress >= MIN_PROGRESS_BYTES;
             call.bytesSinceProgress = progress ? 0 : call.bytesSinceProgress;
             call.incompleteSince = !incomplete ? NEVER : progress ? now : Math.min(call.incompleteSince, now);
+            failureReported &= incomplete;
         }
         return takeSteps();
     }
@@ -240,7 +261,7 @@
             return takeSteps();
         }
         call.answered = true;
-        backoffNs = MIN_BACKOFF_NS;
+        backoffNs = backoff.minNs();
         boolean wentBack = update.revision() < call.lastRevision;
         call.lastRevision = update.revision();
         if (call == watch && previousWatch != null) {
@@ -312,10 +333,10 @@
     private void startResync(long now) {
         resyncing = true;
         List.copyOf(openCalls).stream().filter(call -> call.purpose != Purpose.FETCH).forEach(this::closeCall);
-        if (now >= lastResyncAt + MAX_BACKOFF_NS) {
+        if (now >= lastResyncAt + MIN_RESYNC_INTERVAL_NS) {
             openWatch(now);
         } else {
-            nextWatchAt = now + MAX_BACKOFF_NS; // the revision goes back repeatedly
+            nextWatchAt = now + MIN_RESYNC_INTERVAL_NS; // the revision goes back repeatedly
         }
         lastResyncAt = now;
     }
@@ -435,19 +456,37 @@
         previousWatch = call == previousWatch ? null : previousWatch;
     }
 
-    /** Closes a call that was answered, failed or timed out; a watch is opened again after a back-off with jitter. */
+    /** Closes a call that was answered, failed or timed out; a watch is opened again. */
     private void endCall(Call call, long now) {
         boolean wasWatch = call == watch;
         closeCall(call);
-        if (call.purpose == Purpose.FETCH ? !call.answered : wasWatch && onDemand) {
+        if (call.purpose == Purpose.FETCH && !call.answered) {
             steps.add(new FetchFailed());
         }
-        if (wasWatch && !onDemand) {
-            nextWatchAt = now + backoffNs / 2 + random.nextLong(backoffNs / 2);
-            backoffNs = Math.min(MAX_BACKOFF_NS, 2 * backoffNs);
+        if (wasWatch) {
+            reportFailure();
+            scheduleWatch(call, now);
         }
     }
 
+    /** Reports to the policy, once until discovery answers again, that the list it subscribed to cannot be followed. */
+    private void reportFailure() {
+        if (onDemand && !failureReported) {
+            failureReported = true;
+            steps.add(new FetchFailed());
+        }
+    }
+
+    /** Opens the watch again after a back-off with jitter, but early enough for a change to be known in time. */
+    private void scheduleWatch(Call failed, long now) {
+        boolean hasWorked = failed.lastByteAt - failed.openedAt >= backoff.maxNs();
+        backoffNs = hasWorked ? backoff.minNs() : backoffNs;
+        long timeLeft = Math.max(0, failed.lastByteAt + MAX_ASK_INTERVAL_NS - now);
+        long wait = Math.min(backoffNs, timeLeft);
+        nextWatchAt = now + wait / 2 + random.nextLong(1 + wait / 2);
+        backoffNs = Math.min(backoff.maxNs(), 2 * backoffNs);
+    }
+
     private List<Step> takeSteps() {
         List<Step> taken = steps;
         steps = new ArrayList<>();
--- a/router/src/main/java/ledgewall/net/Discovery.java
+++ b/router/src/main/java/ledgewall/net/Discovery.java
@@ -26,6 +26,8 @@
  */
 final class Discovery {
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
+    /** Time without a byte from discovery that is logged once it ends: an open watch carries one every 2 s. */
+    private static final long LOGGED_SILENCE_NANOS = Clock.millisToNanos(4_000);
 
     private final RouterContext context;
     private final Members members;
@@ -35,6 +37,8 @@
     private EventLoop.Timer timer;
     private long timerDueAt = Long.MAX_VALUE;
     private InetSocketAddress address;
+    /** When the last byte from discovery came, or it was first asked; {@link Long#MAX_VALUE} before that. */
+    private long lastHeardAt = Long.MAX_VALUE;
 
     Discovery(RouterContext context, RouterConfig config, Members members, MemberListWatcher.Checks checks) {
         this.context = context;
@@ -89,6 +93,16 @@
         rescheduleTimer();
     }
 
+    /** Logs for how long discovery has been silent, once it answers again. */
+    private void heard() {
+        long silentNanos = now() - lastHeardAt;
+        lastHeardAt = now();
+        if (silentNanos >= LOGGED_SILENCE_NANOS) {
+            context.counters().add(Counters.Count.DISCOVERY_SILENCES);
+            LOG.info("event=discovery_answers silent_ms={}", Clock.nanosToMillis(silentNanos));
+        }
+    }
+
     private void applyList(ListUpdate update, MemberListWatcher.Call from) {
         context.counters().add(Counters.Count.LISTS);
         if (from.purpose() == MemberListWatcher.Purpose.CHECK || from.purpose() == MemberListWatcher.Purpose.FULL_LIST) {
@@ -132,6 +146,7 @@
             context.descriptors().acquire();
             context.counters().add(call.purpose() == MemberListWatcher.Purpose.WATCH
                 ? Counters.Count.WATCHES : Counters.Count.LIST_CHECKS);
+            lastHeardAt = Math.min(lastHeardAt, now());
             connectFuture = context.transport().connect(call.address(), this, this::endCall);
         }
 
@@ -196,6 +211,7 @@
             if (closed) {
                 return;
             }
+            heard();
             execute(watcher.onBytes(call, hasUpdate, answerPending, byteCount, now()));
             for (ListUpdate update : updates) {
                 execute(watcher.onUpdate(call, update, now()));
--- a/router/src/test/java/ledgewall/discovery/MemberListWatcherTest.java
+++ b/router/src/test/java/ledgewall/discovery/MemberListWatcherTest.java
@@ -12,11 +12,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import ledgewall.ReplicaRoutingPolicy;
+import ledgewall.RoutingPolicy;
 import ledgewall.discovery.MemberListWatcher.Checks;
 import ledgewall.discovery.MemberListWatcher.Purpose;
 import ledgewall.discovery.Member.Phase;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -31,6 +34,11 @@
     private static final long ROUND_TRIP_NS = 4 * STEP_NS;
     private static final long HEARTBEAT_INTERVAL_NS = 2_000 * NANOS_PER_MILLI;
     private static final long SEED = 28;
+    private static final RoutingPolicy.Settings POLICY_SETTINGS = new RoutingPolicy.Settings(1, 0, 0, 5 * NANOS_PER_MILLI, true,
+        List.of(), List.of(), 1, new RoutingPolicy.Limits(4, true, true, true, false, true, 0, 0, 1_000),
+        new RoutingPolicy.ReplicationSettings(RoutingPolicy.StaleReadHandling.WAITS, 0, false, false,
+            RoutingPolicy.ListedRoleTiming.NEVER, true, true),
+        new RoutingPolicy.Constraints(0, 10_000 * NANOS_PER_MILLI, 500 * NANOS_PER_MILLI, false, 0.2, 0, 3, 0));
     private static final InetSocketAddress FIRST_ADDRESS = new InetSocketAddress("127.0.0.1", 8500);
     private static final InetSocketAddress SECOND_ADDRESS = new InetSocketAddress("127.0.0.1", 8501);
 
@@ -99,9 +107,15 @@
     private final List<ListUpdate> appliedUpdates = new ArrayList<>();
     private final Discovery discovery = new Discovery();
     private MemberListWatcher watcher;
+    /** Null where lists are pushed. */
+    private ReplicaRoutingPolicy policy;
+    private final List<RoutingPolicy.Event> policyEvents = new ArrayList<>();
     /** Whether nothing ever arrives on connections that are opened from now on. */
     private boolean newConnectionsAreLost;
     private int failedFetches;
+    private int openedCalls;
+    /** How long discovery takes to answer a call. */
+    private long answerDelayNs = 2 * STEP_NS;
     private int maxOpenConnections;
     private long now;
 
@@ -120,14 +134,32 @@
         carryOut(watcher.start(now));
     }
 
+    /** Starts a watcher that asks for the list for a policy, which hears of failures and asks again. */
+    private void startOnDemand() {
+        startWatcher(Checks.DEFAULT, true);
+        policy = new ReplicaRoutingPolicy(POLICY_SETTINGS, SEED);
+    }
+
+    private void runPolicy() {
+        List<RoutingPolicy.Event> events = List.copyOf(policyEvents);
+        policyEvents.clear();
+        for (RoutingPolicy.Action action : policy.decide(now, events)) {
+            if (action instanceof RoutingPolicy.Subscribe) {
+                carryOut(watcher.subscribe(now));
+            }
+        }
+    }
+
     private void carryOut(List<MemberListWatcher.Step> steps) {
         for (MemberListWatcher.Step step : steps) {
             if (step instanceof MemberListWatcher.Open open) {
+                openedCalls++;
                 connections.put(open.call(), new Connection(open.call(), newConnectionsAreLost, now));
             } else if (step instanceof MemberListWatcher.Close close) {
                 assertTrue(connections.remove(close.call()) != null, "a closed call was open");
             } else if (step instanceof MemberListWatcher.Apply apply) {
                 appliedUpdates.add(apply.update());
+                policyEvents.add(new RoutingPolicy.MemberList(RoutingPolicy.ListKind.DELTA, List.of()));
                 if (apply.update().complete()) {
                     knownPhases.clear();
                 }
@@ -140,6 +172,7 @@
                 }
             } else {
                 failedFetches++;
+                policyEvents.add(new RoutingPolicy.MemberList(RoutingPolicy.ListKind.FAILED, List.of()));
             }
         }
         maxOpenConnections = Math.max(maxOpenConnections, connections.size());
@@ -156,6 +189,9 @@
             if (watcher.nextTickAt() <= now) {
                 carryOut(watcher.tick(now));
             }
+            if (policy != null) {
+                runPolicy();
+            }
         }
     }
 
@@ -166,7 +202,7 @@
         }
         if (behavior == Behavior.REFUSES) {
             carryOut(watcher.onClosed(connection.call, now));
-        } else if (connection.unanswered && now >= connection.lastSentAt + 2 * STEP_NS && behavior != Behavior.SILENT) {
+        } else if (connection.unanswered && now >= connection.lastSentAt + answerDelayNs && behavior != Behavior.SILENT) {
             connection.unanswered = false;
             Discovery server = discoveries.get(connection.call.address());
             send(connection, connection.sinceRevision < 0 ? server.fullList() : server.changesSince(connection.sinceRevision),
@@ -455,6 +491,73 @@
         }
     }
 
+    /** The time within which a change has to be known once discovery can be asked for it. */
+    private static final long KNOWN_WITHIN_NS = 6_000 * NANOS_PER_MILLI;
+
+    /** How discovery may be away: it takes calls and says nothing, refuses them, or they get lost. */
+    private enum Outage { SILENT, REFUSED, LOST }
+
+    private void beginOutage(Outage outage) {
+        behaviors.put(FIRST_ADDRESS, outage == Outage.SILENT ? Behavior.SILENT
+            : outage == Outage.REFUSED ? Behavior.REFUSES : Behavior.NORMAL);
+        newConnectionsAreLost = outage == Outage.LOST;
+        connections.values().forEach(connection -> connection.lost |= outage == Outage.LOST);
+    }
+
+    private void endOutage() {
+        behaviors.put(FIRST_ADDRESS, Behavior.NORMAL);
+        newConnectionsAreLost = false;
+        connections.values().forEach(connection -> connection.lost = true); // no call from before the return is answered
+    }
+
+    /** Guards against a drain that stays unknown because the router waits too long before it asks discovery again. */
+    @ParameterizedTest
+    @EnumSource(Outage.class)
+    void changeIsKnownInTimeAfterAnOutageOfAnyLengthWhereListsAreAskedFor(Outage outage) {
+        for (int tenths = 1; tenths <= 400; tenths += 3) {
+            MemberListWatcherTest simulation = new MemberListWatcherTest();
+            simulation.startOnDemand();
+            simulation.run(10_000 * NANOS_PER_MILLI);
+            simulation.beginOutage(outage);
+            simulation.run(tenths * 100 * NANOS_PER_MILLI);
+            simulation.endOutage();
+            simulation.assertDrainAppliedWithin("a", KNOWN_WITHIN_NS - ROUND_TRIP_NS);
+        }
+    }
+
+    /** Guards against watches that break one after the other at quiet times, of which each adds to the wait after the next. */
+    @Test
+    void watchesThatBreakAgainAndAgainDoNotDelayAChange() {
+        startOnDemand();
+        for (int i = 0; i < 8; i++) {
+            run(20_000 * NANOS_PER_MILLI);
+            connections.values().forEach(connection -> connection.lost = true);
+        }
+        assertDrainAppliedWithin("a", KNOWN_WITHIN_NS - ROUND_TRIP_NS);
+    }
+
+    /** A longer outage must not cost the fleet more calls than the time within which changes have to be known requires. */
+    @Test
+    void callsDuringAnOutageAreFewWhereListsAreAskedFor() {
+        startOnDemand();
+        run(5_000 * NANOS_PER_MILLI);
+        beginOutage(Outage.SILENT);
+        openedCalls = 0;
+        run(60_000 * NANOS_PER_MILLI);
+        assertTrue(openedCalls <= 25, openedCalls + " calls in a minute");
+    }
+
+    /** Guards against a drain that is not heard of because a move of discovery finds the router between two calls. */
+    @Test
+    void moveOfDiscoveryEndsTheWaitForTheNextCallWhereListsAreAskedFor() {
+        startOnDemand();
+        run(5_000 * NANOS_PER_MILLI);
+        beginOutage(Outage.REFUSED);
+        run(30_000 * NANOS_PER_MILLI);
+        carryOut(watcher.changeAddress(SECOND_ADDRESS, now));
+        assertDrainAppliedWithin("a", 0);
+    }
+
     private static MemberListWatcher watcherWithMembers(int members, long seed) {
         List<Member> list = new ArrayList<>();
         for (int i = 0; i < members; i++) {
