--- a/router/src/test/java/ledgewall/net/DrainTest.java
+++ b/router/src/test/java/ledgewall/net/DrainTest.java
@@ -127,7 +127,8 @@
     void routerEndsOnlyOnceTheLastAnswersAreTaken() throws IOException, InterruptedException {
         byte[] value = new byte[60 * 1024];
         harness.host("m", StubServer.host((connection, sql) -> connection.write(Wire.row(value), Wire.ready())));
-        Router router = harness.deduplicationWindowMs(1_000).start(ScriptedPolicy.sendTo("m", 0)); // whose deadline is the longest
+        harness.deduplicationWindowMs(1_000); // adds the class with the longest deadline
+        Router router = harness.start(ScriptedPolicy.sendTo("m", 0));
         Client client = harness.client();
         byte[][] queries = new byte[60][];
         Arrays.setAll(queries, i -> RouterHarness.lookQuery("" + i));
