Await slow answers of discovery beside the call that asks again

Cause: a call without a byte for 1 s was closed and made anew with the same time, so that no answer was ever awaited longer.

Change: after 1 s discovery is asked again as before, but the first call stays open beside the new one for up to 6 s; which- ever answers first is the watch. One more connection at most, and not one call more.

Measured: in simulated time, answers after 1.2, 2.5 and 5 s, pushed and asked for: not known within 6 s in six of six before, known in six of six after. On sockets, DiscoveryTest with an agent that takes 1.5 s failed before and passes.

--- a/router/src/main/java/ledgewall/discovery/MemberListWatcher.java
+++ b/router/src/main/java/ledgewall/discovery/MemberListWatcher.java
@@ -23,8 +23,12 @@
     /** Lower than every revision. */
     private static final long NO_REVISION = -1;
     private static final String PATH = "/catalog/members";
-    /** Longest time without a byte while an answer is outstanding or incomplete; the discovery agent answers at once. */
+    /**
+     * Longest time without a byte while an answer is outstanding or incomplete, after which discovery is asked anew. A watch that
+     * has not been answered at all by then is kept beside the new one for {@link #MAX_RESPONSE_TIME_NS}, in case discovery is slow.
+     */
     private static final long RESPONSE_TIMEOUT_NS = 1_000 * NANOS_PER_MILLI;
+    private static final long MAX_RESPONSE_TIME_NS = 6_000 * NANOS_PER_MILLI;
     /** Longest time without a byte on an idle watch, which carries at least an empty line every 2 s. */
     private static final long IDLE_TIMEOUT_NS = 3_000 * NANOS_PER_MILLI;
     /**
@@ -95,6 +99,10 @@
         /** Bytes received since the last progress. */
         private int bytesSinceProgress;
         private boolean answered;
+        /** Whether the first answer, or what there is of it so far, has come without a rest that is outstanding. */
+        private boolean established;
+        /** Whether it waits for a slow answer beside a newer watch. */
+        private boolean overdue;
         private final String target;
 
         private Call(Purpose purpose, InetSocketAddress address, long revision, long now) {
@@ -125,6 +133,9 @@
         }
 
         private long timeoutAt() {
+            if (overdue) {
+                return openedAt + MAX_RESPONSE_TIME_NS;
+            }
             if (incompleteSince == NEVER) {
                 return lastByteAt + IDLE_TIMEOUT_NS;
             }
@@ -164,6 +175,8 @@
     private int checksSinceFullList;
     private long nextFullListAt = Long.MIN_VALUE;
     private Call watch;
+    /** A watch that discovery has not answered in time; null if there is none. */
+    private Call overdueWatch;
     /** The watch at the address before the last change of address; null if there is none. */
     private Call previousWatch;
     private long previousWatchEndsAt;
@@ -250,16 +263,37 @@
             boolean progress = listCompleted || call.bytesSinceProgress >= MIN_PROGRESS_BYTES;
             call.bytesSinceProgress = progress ? 0 : call.bytesSinceProgress;
             call.incompleteSince = !incomplete ? NEVER : progress ? now : Math.min(call.incompleteSince, now);
-            failureReported &= incomplete;
+            if (!incomplete) {
+                establish(call);
+            }
         }
         return takeSteps();
     }
 
+    /** Notes that discovery has answered a call. A slow answer makes its call the watch; of two watches only one remains. */
+    private void establish(Call call) {
+        call.established = true;
+        failureReported = false;
+        if (call == overdueWatch) {
+            Call unanswered = watch;
+            watch = call;
+            overdueWatch = null;
+            call.overdue = false;
+            nextWatchAt = NEVER;
+            if (unanswered != null) {
+                closeCall(unanswered);
+            }
+        } else if (call == watch && overdueWatch != null) {
+            closeCall(overdueWatch);
+        }
+    }
+
     /** Handles a list or a set of changes that a call has received. It is not called for empty lines. */
     public List<Step> onUpdate(Call call, ListUpdate update, long now) {
         if (!openCalls.contains(call)) {
             return takeSteps();
         }
+        establish(call);
         call.answered = true;
         backoffNs = backoff.minNs();
         boolean wentBack = update.revision() < call.lastRevision;
@@ -290,7 +324,7 @@
     public List<Step> tick(long now) {
         for (Call call : List.copyOf(openCalls)) {
             if (openCalls.contains(call) && (call.timeoutAt() <= now || call == previousWatch && previousWatchEndsAt <= now)) {
-                endCall(call, now);
+                onTimeout(call, now);
             }
         }
         if (nextWatchAt <= now) {
@@ -302,6 +336,18 @@
         return takeSteps();
     }
 
+    private void onTimeout(Call call, long now) {
+        if (call != watch || call.established || overdueWatch != null) {
+            endCall(call, now);
+            return;
+        }
+        watch = null;
+        overdueWatch = call;
+        call.overdue = true;
+        reportFailure();
+        scheduleWatch(call, now);
+    }
+
     /** The time at which {@link #tick} must be called next. */
     public long nextTickAt() {
         long due = Math.min(Math.min(nextWatchAt, nextCheckAt), previousWatch == null ? NEVER : previousWatchEndsAt);
@@ -454,6 +500,7 @@
         }
         watch = call == watch ? null : watch;
         previousWatch = call == previousWatch ? null : previousWatch;
+        overdueWatch = call == overdueWatch ? null : overdueWatch;
     }
 
     /** Closes a call that was answered, failed or timed out; a watch is opened again. */
--- a/router/src/test/java/ledgewall/discovery/MemberListWatcherTest.java
+++ b/router/src/test/java/ledgewall/discovery/MemberListWatcherTest.java
@@ -19,6 +19,7 @@
 import ledgewall.discovery.Member.Phase;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -536,6 +537,24 @@
         assertDrainAppliedWithin("a", KNOWN_WITHIN_NS - ROUND_TRIP_NS);
     }
 
+    /** Guards against a router that never learns of anything, since it gives up each call before discovery answers it. */
+    @ParameterizedTest
+    @CsvSource({"1200, true", "1200, false", "2500, true", "2500, false", "5000, true", "5000, false"})
+    void slowAnswersAreAwaited(long answerDelayMillis, boolean onDemand) {
+        answerDelayNs = answerDelayMillis * NANOS_PER_MILLI;
+        if (onDemand) {
+            startOnDemand();
+        } else {
+            startWatcher(Checks.DEFAULT, false);
+        }
+        discovery.set("a", Phase.TERMINATING);
+        run(KNOWN_WITHIN_NS);
+        assertEquals(Phase.TERMINATING, knownPhases.get("a"));
+        run(20_000 * NANOS_PER_MILLI);
+        assertEquals(1, openWatches());
+        assertTrue(maxOpenConnections <= 5, maxOpenConnections + " calls at once");
+    }
+
     /** A longer outage must not cost the fleet more calls than the time within which changes have to be known requires. */
     @Test
     void callsDuringAnOutageAreFewWhereListsAreAskedFor() {
--- a/router/src/test/java/ledgewall/net/DiscoveryTest.java
+++ b/router/src/test/java/ledgewall/net/DiscoveryTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import ledgewall.RoutingPolicy;
 import ledgewall.RoutingPolicy.ListKind;
 import ledgewall.RoutingPolicy.Listing;
@@ -30,6 +31,8 @@
     private static final String ADDRESS = "127.0.0.1:9";
     private static final String CHUNKED = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+    private static final long SLOW_ANSWER_NANOS = 1_500 * RouterHarness.MS;
+
     private final RouterHarness harness = new RouterHarness();
     private final ScriptedPolicy policy = ScriptedPolicy.idle();
     /** The request targets that discovery received from the router. */
@@ -230,6 +233,16 @@
         assertEquals(0, harness.router().counts().of(Counters.Count.BAD_LISTS));
     }
 
+    /** Guards against a router that never learns of a change, since it gives up each call before discovery answers it. */
+    @Test
+    void answerThatTakesLongerThanAnotherCallIsAwaited() throws IOException, InterruptedException {
+        start(connection -> {
+            LockSupport.parkNanos(SLOW_ANSWER_NANOS);
+            streamLines(connection, listLine(42, false, readyMember("n")));
+        });
+        assertEquals("n", policy.next(MemberList.class).listings().get(0).member());
+    }
+
     @Test
     void withListsOnRequestThePolicyRequestsThemAndIsToldOfFailures() throws IOException, InterruptedException {
         harness.withListsOnRequest();
