--- a/router/src/main/java/ledgewall/discovery/MemberListWatcher.java
+++ b/router/src/main/java/ledgewall/discovery/MemberListWatcher.java
@@ -137,7 +137,8 @@
                 return openedAt + MAX_RESPONSE_TIME_NS;
             }
             if (incompleteSince == NEVER) {
-                return lastByteAt + IDLE_TIMEOUT_NS;
+                // a check that has been answered by an empty line has nothing to tell
+                return purpose == Purpose.CHECK ? openedAt + RESPONSE_TIMEOUT_NS : lastByteAt + IDLE_TIMEOUT_NS;
             }
             return Math.min(lastByteAt + RESPONSE_TIMEOUT_NS, incompleteSince + PROGRESS_TIMEOUT_NS);
         }
--- a/router/src/test/java/ledgewall/discovery/MemberListWatcherTest.java
+++ b/router/src/test/java/ledgewall/discovery/MemberListWatcherTest.java
@@ -77,6 +77,8 @@
         SILENT,
         /** Answers and sends heartbeats, but no changes after its first answer. */
         NO_CHANGES,
+        /** Sends heartbeats only, as long as there is no change to tell. */
+        NO_FIRST_OBJECT,
         /** Sends only the beginning of a line on a watch, and then nothing. */
         PARTIAL_LINE
     }
@@ -206,6 +208,12 @@
         } else if (connection.unanswered && now >= connection.lastSentAt + answerDelayNs && behavior != Behavior.SILENT) {
             connection.unanswered = false;
             Discovery server = discoveries.get(connection.call.address());
+            if (behavior == Behavior.NO_FIRST_OBJECT && connection.sinceRevision == server.revision) {
+                connection.lastSentAt = now;
+                connection.sentRevision = server.revision;
+                carryOut(watcher.onBytes(connection.call, false, false, 1, now));
+                return;
+            }
             send(connection, connection.sinceRevision < 0 ? server.fullList() : server.changesSince(connection.sinceRevision),
                 behavior);
         } else if (!connection.unanswered && behavior != Behavior.SILENT && behavior != Behavior.NO_CHANGES
@@ -555,6 +563,16 @@
         assertTrue(maxOpenConnections <= 5, maxOpenConnections + " calls at once");
     }
 
+    /** Guards against descriptors that run out, as checks of a list that does not change are never answered and never end. */
+    @Test
+    void checksEndWhereDiscoveryHasNothingToTell() {
+        behaviors.put(FIRST_ADDRESS, Behavior.NO_FIRST_OBJECT);
+        startWatcher(Checks.DEFAULT, false);
+        run(60_000 * NANOS_PER_MILLI);
+        assertTrue(maxOpenConnections <= 3, maxOpenConnections + " calls at once");
+        assertDrainAppliedWithin("a", 0);
+    }
+
     /** A longer outage must not cost the fleet more calls than the time within which changes have to be known requires. */
     @Test
     void callsDuringAnOutageAreFewWhereListsAreAskedFor() {
