Decide on the wait before a watch is opened again in a class of its own

Change: WatchBackoff holds them; behaviour is as before. Measured: MemberListWatcherTest and DiscoveryTest pass.

--- a/router/src/main/java/ledgewall/discovery/MemberListWatcher.java
+++ b/router/src/main/java/ledgewall/discovery/MemberListWatcher.java
@@ -24,10 +24,11 @@
     private static final long NO_REVISION = -1;
     private static final String PATH = "/catalog/members";
     /**
-     * Longest time without a byte while an answer is outstanding or incomplete, after which discovery is asked anew. A watch that
-     * has not been answered at all by then is kept beside the new one for {@link #MAX_RESPONSE_TIME_NS}, in case discovery is slow.
+     * Longest time without a byte while an answer is outstanding or incomplete, after which discovery is asked anew. A watch
+     * that has not been answered at all by then is kept beside the new one, in case discovery is slow.
      */
     private static final long RESPONSE_TIMEOUT_NS = 1_000 * NANOS_PER_MILLI;
+    /** Longest time for which a watch that has not been answered is kept. */
     private static final long MAX_RESPONSE_TIME_NS = 6_000 * NANOS_PER_MILLI;
     /** Longest time without a byte on an idle watch, which carries at least an empty line every 2 s. */
     private static final long IDLE_TIMEOUT_NS = 3_000 * NANOS_PER_MILLI;
@@ -39,16 +40,6 @@
     private static final int MIN_PROGRESS_BYTES = 32 * 1024;
     /** Longest time for which the watch at the previous address is kept while the one at the new address sends no list. */
     private static final long ADDRESS_CHANGE_TIMEOUT_NS = 5_000 * NANOS_PER_MILLI;
-    /** Every change has to be known within this time once discovery can be asked for it. */
-    private static final long CHANGE_KNOWN_WITHIN_NS = 6_000 * NANOS_PER_MILLI;
-    /** The part of that time that is left to discovery for its answer. */
-    private static final long ANSWER_TIME_NS = 2_000 * NANOS_PER_MILLI;
-    /** Longest time between the last sign of life of discovery, or a call that may have got lost, and the next call. */
-    private static final long MAX_ASK_INTERVAL_NS = CHANGE_KNOWN_WITHIN_NS - ANSWER_TIME_NS;
-    /** Where changes are pushed, each second counts, and the discovery agent is asked at no cost to others. */
-    private static final Backoff PUSH_BACKOFF = new Backoff(100 * NANOS_PER_MILLI, 500 * NANOS_PER_MILLI);
-    /** Where lists are asked for, the calls of all routers load discovery. */
-    private static final Backoff ON_DEMAND_BACKOFF = new Backoff(1_000 * NANOS_PER_MILLI, MAX_ASK_INTERVAL_NS);
     /** Shortest time between two requests for the full list because the revision went back. */
     private static final long MIN_RESYNC_INTERVAL_NS = 500 * NANOS_PER_MILLI;
     /** Fewest checks between two requests for the full list, which also shows differences that no revision reports. */
@@ -83,9 +74,6 @@
         public static final Checks DISABLED = new Checks(0);
     }
 
-    /** The shortest and the longest wait before a watch that has failed is opened again; it doubles with each failure. */
-    private record Backoff(long minNs, long maxNs) { }
-
     /** One HTTP request to discovery, on a connection of its own, from opening to closing. */
     public static final class Call {
         private final Purpose purpose;
@@ -160,7 +148,7 @@
     public record FetchFailed() implements Step { }
 
     private final boolean onDemand;
-    private final Backoff backoff;
+    private final WatchBackoff backoff;
     private final Checks checks;
     private final SplittableRandom random;
     /** Open calls: a watch, the previous one after a change of address, checks of up to a second each, and fetches. */
@@ -170,7 +158,6 @@
     private List<Step> steps = new ArrayList<>();
     private InetSocketAddress address;
     private long revision;
-    private long backoffNs;
     private long nextWatchAt = NEVER;
     private long nextCheckAt = NEVER;
     private int checksSinceFullList;
@@ -199,10 +186,9 @@
         this.address = address;
         this.revision = list.revision();
         this.onDemand = onDemand;
-        this.backoff = onDemand ? ON_DEMAND_BACKOFF : PUSH_BACKOFF;
-        this.backoffNs = backoff.minNs();
         this.checks = checks;
         this.random = new SplittableRandom(seed);
+        this.backoff = onDemand ? WatchBackoff.whereListsAreAskedFor(random) : WatchBackoff.whereListsArePushed(random);
         this.lastResyncAt = Long.MIN_VALUE / 2;
         list.members().forEach(this::updateKnown);
     }
@@ -237,7 +223,7 @@
             return takeSteps();
         }
         address = newAddress;
-        backoffNs = backoff.minNs();
+        backoff.reset();
         List.copyOf(openCalls).stream().filter(call -> call != watch).forEach(this::closeCall);
         boolean watching = watch != null || nextWatchAt != NEVER || !onDemand;
         previousWatch = watch;
@@ -296,7 +282,7 @@
         }
         establish(call);
         call.answered = true;
-        backoffNs = backoff.minNs();
+        backoff.reset();
         boolean wentBack = update.revision() < call.lastRevision;
         call.lastRevision = update.revision();
         if (call == watch && previousWatch != null) {
@@ -346,7 +332,7 @@
         overdueWatch = call;
         call.overdue = true;
         reportFailure();
-        scheduleWatch(call, now);
+        nextWatchAt = backoff.reopenAt(call.openedAt, call.lastByteAt, now);
     }
 
     /** The time at which {@link #tick} must be called next. */
@@ -513,7 +499,7 @@
         }
         if (wasWatch) {
             reportFailure();
-            scheduleWatch(call, now);
+            nextWatchAt = backoff.reopenAt(call.openedAt, call.lastByteAt, now);
         }
     }
 
@@ -525,16 +511,6 @@
         }
     }
 
-    /** Opens the watch again after a back-off with jitter, but early enough for a change to be known in time. */
-    private void scheduleWatch(Call failed, long now) {
-        boolean hasWorked = failed.lastByteAt - failed.openedAt >= backoff.maxNs();
-        backoffNs = hasWorked ? backoff.minNs() : backoffNs;
-        long timeLeft = Math.max(0, failed.lastByteAt + MAX_ASK_INTERVAL_NS - now);
-        long wait = Math.min(backoffNs, timeLeft);
-        nextWatchAt = now + wait / 2 + random.nextLong(1 + wait / 2);
-        backoffNs = Math.min(backoff.maxNs(), 2 * backoffNs);
-    }
-
     private List<Step> takeSteps() {
         List<Step> taken = steps;
         steps = new ArrayList<>();
