Give the handler of clients' requests a file of its own

Cause: ClientConnection was the router's largest class, and the interface to its owner stood in its midst. Change: moved to RequestHandler with the two types it uses; nothing else.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -39,47 +39,6 @@
     /** Invalid commands at which the connection ends: no ordinary client sends so many. */
     private static final int MAX_INVALID_COMMANDS = 8;
 
-    /** The client of a connection, as far as it is known; fields that are not known are empty. */
-    record ClientIdentity(String user, String database, String address) { }
-
-    /** Whether a new connection is admitted. */
-    enum Admission {
-        /** Its requests are accepted. */
-        SERVED,
-        /** There is no capacity for its requests: each is refused, and the connection ends after the first. */
-        REFUSED
-    }
-
-    /** Admits connections and handles their requests. */
-    interface RequestHandler {
-        /** Registers a new connection and returns whether it is admitted. */
-        Admission admit(ClientConnection connection);
-
-        /** Refuses a request that is not going to be submitted. */
-        void refuse(AnswerSlot slot);
-
-        /** Answers a submitted request at once if it is unanswered: as refused if nothing of it was sent, else as failed. */
-        void giveUp(ClientRequest request);
-
-        /** Handles a request that was received at {@code receivedAt}; its answer goes to the slot. */
-        ClientRequest submit(Statement statement, AnswerSlot slot, long receivedAt, ClientIdentity client);
-
-        /** Whether statements without a routing comment are accepted; never changes while the router runs. */
-        boolean acceptsUncommentedStatements();
-
-        /** The client of this request has disconnected, or its connection has failed. */
-        void requestAbandoned(ClientRequest request);
-
-        /** A connection has closed. */
-        void connectionClosed(ClientConnection connection);
-
-        /** A complete command has been received. */
-        void commandReceived(ClientConnection connection);
-
-        /** Every command of the connection has been answered. */
-        void connectionIdle(ClientConnection connection);
-    }
-
     private final RouterContext context;
     private final RequestHandler requestHandler;
     private final ClientInput input;
@@ -91,9 +50,9 @@
     /** Answers that are ready, in order; written together at the end of a turn's commands. */
     private final AnswerWriter answerWriter;
     private IoSession session;
-    private ClientIdentity client = new ClientIdentity("", "", "");
+    private RequestHandler.ClientIdentity client = new RequestHandler.ClientIdentity("", "", "");
     /** Null until the event loop has heard of the connection. */
-    private Admission admission;
+    private RequestHandler.Admission admission;
     private boolean closed;
     private boolean skipsUntilSync;
     private boolean closing;
@@ -388,7 +347,7 @@
             String user = parameters.getOrDefault("user", "");
             String address = session.getRemoteAddress() instanceof InetSocketAddress from
                 ? from.getAddress().getHostAddress() : "";
-            client = new ClientIdentity(user, parameters.getOrDefault("database", user), address);
+            client = new RequestHandler.ClientIdentity(user, parameters.getOrDefault("database", user), address);
         }
         respond(startup.minorVersion() == 0 ? MessageWriter.startupReply()
             : MessageWriter.join(MessageWriter.negotiateProtocolVersion(), MessageWriter.startupReply()));
@@ -397,7 +356,7 @@
     private void handleQuery(Statement statement, long receivedAt) {
         AnswerSlot slot = new AnswerSlot();
         answerSlots.add(slot);
-        if (admission == Admission.REFUSED) {
+        if (admission == RequestHandler.Admission.REFUSED) {
             slot.refused = true;
             requestHandler.refuse(slot);
             return;
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -19,7 +19,7 @@
 import org.slf4j.LoggerFactory;
 
 /** Accepts requests, reports them to the policy, carries out its decisions, and answers each request exactly once. */
-final class RequestDispatcher implements ClientConnection.RequestHandler, Attempt.Listener {
+final class RequestDispatcher implements RequestHandler, Attempt.Listener {
     private static final Logger LOG = LoggerFactory.getLogger(RequestDispatcher.class);
     /** One day: no client waits longer, and much larger values would overflow the clock's nanoseconds. */
     private static final long MAX_TIMEOUT_MILLIS = 24L * 3_600 * 1_000;
@@ -83,7 +83,7 @@
     }
 
     @Override
-    public ClientConnection.Admission admit(ClientConnection connection) {
+    public RequestHandler.Admission admit(ClientConnection connection) {
         context.counters().add(Counters.Count.CLIENTS);
         if (clients.size() >= context.descriptors().softClientLimit()) {
             evictClient();
@@ -95,7 +95,7 @@
             LOG.debug("event=client_turned_away full={} clients={} held={}", full, clients.size(), context.descriptors().held());
             refusedClients.add(connection);
             connection.closeAfterNextAnswer();
-            return ClientConnection.Admission.REFUSED;
+            return RequestHandler.Admission.REFUSED;
         }
         context.descriptors().acquire();
         clients.add(connection);
@@ -103,7 +103,7 @@
         if (draining) {
             connection.closeAfterNextAnswer();
         }
-        return ClientConnection.Admission.SERVED;
+        return RequestHandler.Admission.SERVED;
     }
 
     @Override
@@ -213,7 +213,7 @@
 
     @Override
     public ClientRequest submit(Statement statement, ClientConnection.AnswerSlot slot, long receivedAt,
-                                ClientConnection.ClientIdentity client) {
+                                RequestHandler.ClientIdentity client) {
         if (stopping) {
             ClientRequest request = new ClientRequest(++lastRequestNumber, statement, receivedAt, slot);
             refuse(request);
--- a/router/src/test/java/ledgewall/net/RecordingRequestHandler.java
+++ b/router/src/test/java/ledgewall/net/RecordingRequestHandler.java
@@ -6,7 +6,7 @@
 import ledgewall.pg.Statement;
 
 /** Admits one connection, records what it submits and whether it has closed; tests answer the recorded slots. */
-final class RecordingRequestHandler implements ClientConnection.RequestHandler {
+final class RecordingRequestHandler implements RequestHandler {
     private final List<ClientConnection.AnswerSlot> slots = new ArrayList<>();
     private int refusedCount;
     private int abandonedCount;
@@ -30,8 +30,8 @@
     }
 
     @Override
-    public ClientConnection.Admission admit(ClientConnection client) {
-        return ClientConnection.Admission.SERVED;
+    public RequestHandler.Admission admit(ClientConnection client) {
+        return RequestHandler.Admission.SERVED;
     }
 
     @Override
@@ -47,7 +47,7 @@
 
     @Override
     public ClientRequest submit(Statement statement, ClientConnection.AnswerSlot slot, long receivedAt,
-                                ClientConnection.ClientIdentity from) {
+                                RequestHandler.ClientIdentity from) {
         slots.add(slot);
         return new ClientRequest(slots.size(), statement, receivedAt, slot);
     }
