Test on a socket that the I/O thread writes no query after its latest time

Cause: the check of the I/O thread was tested apart from a socket only. Change: a test whose policy permits a write until the moment in which it is asked; the host must not see the query, and the attempt ends as withdrawn.

--- a/router/src/test/java/ledgewall/net/LateConnectionTest.java
+++ b/router/src/test/java/ledgewall/net/LateConnectionTest.java
@@ -9,7 +9,9 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.locks.LockSupport;
 import ledgewall.ReplicaRoutingPolicy;
+import ledgewall.RoutingPolicy;
 import ledgewall.standin.Client;
+import ledgewall.standin.ScriptedPolicy;
 import ledgewall.standin.StubServer;
 import ledgewall.standin.Wire;
 import org.junit.jupiter.api.AfterEach;
@@ -65,6 +67,32 @@
         });
     }
 
+    /** A policy whose sends may be written until the moment in which it is asked, so that the I/O thread is always too late. */
+    private record LateWritePolicy(ScriptedPolicy script) implements RoutingPolicy {
+        @Override
+        public List<Action> decide(long now, List<Event> events) {
+            return script.decide(now, events);
+        }
+
+        @Override
+        public long confirmSend(long now, long request, int attempt) {
+            return now;
+        }
+    }
+
+    /** Guards against a query that was permitted when the event loop handed it over, and is written after its latest time. */
+    @Test
+    void queryToWhichTheIoThreadComesTooLateIsNotWritten() throws IOException, InterruptedException {
+        List<String> queries = new CopyOnWriteArrayList<>();
+        StubServer host = StubServer.host((connection, sql) -> queries.add(sql));
+        ScriptedPolicy script = ScriptedPolicy.sendTo("m", 0);
+        harness.host("m", host).start(new LateWritePolicy(script));
+        harness.client().send(RouterHarness.lookQuery("1"));
+        assertEquals(RoutingPolicy.Result.WITHDRAWN, script.next(RoutingPolicy.Outcome.class).result());
+        assertEquals(List.of(), queries);
+        assertEquals(1, harness.router().counts().of(AttemptOutcome.WITHDRAWN));
+    }
+
     /** Guards against a keyed write that is repeated after its hosts have stopped remembering the first copy. */
     @Test
     void keyedWriteIsNotRepeatedAfterItsWindowWhenItsConnectionComesUpLate() throws IOException {
