Make room for a large answer by freeing commands that take as much memory

Cause: the check whether an answer finds room freed the memory of stalled clients only, where the limit had freed the largest client's before.

Change: clients whose commands, whole or in part, take as much memory as the answer free that first, the largest first. A client is still not closed over answers on their way, and other answers are not given up.

Measured: AnswersOnTheirWayTest.largeAnswerIsServedWhileOthersHoldPartsOfMessages was refused before, and is served.

--- a/router/src/main/java/ledgewall/net/BufferedBytes.java
+++ b/router/src/main/java/ledgewall/net/BufferedBytes.java
@@ -47,10 +47,13 @@
         freeDownTo(maxTotalBytes, ClientConnection::canFreeMemory);
     }
 
-    /** Whether an answer of this size may be kept for its client; clients that take nothing are closed to make room for it. */
+    /**
+     * Whether an answer of this size may be kept for its client. To make room for it, clients that take nothing are closed, and
+     * those whose commands take as much memory have to free that. Other answers are not given up for it.
+     */
     boolean hasRoomForAnswer(int bytes) {
         if (bytes > SMALL_ANSWER_BYTES) {
-            freeDownTo(maxTotalBytes - bytes, ClientConnection::isStalled);
+            freeDownTo(maxTotalBytes - bytes, client -> client.isStalled() || client.freeableInputBytes() >= bytes);
         }
         return bytes <= SMALL_ANSWER_BYTES || totalBytes + bytes <= maxTotalBytes;
     }
--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -538,9 +538,8 @@
     /** Updates the count of the memory that is taken for this client. */
     private void updateBufferedBytes() {
         if (!closed && failure == null) {
-            context.bufferedBytes().set(this, readBufferSize + queuedCommands.heapBytes() + statementBytesInHand
-                + requestsInHand * REQUEST_BYTES + answerSlots.size() * ANSWER_SLOT_BYTES + waitingAnswerBytes
-                + answerWriter.unsentBytes());
+            context.bufferedBytes().set(this, inputBytes() + requestsInHand * REQUEST_BYTES
+                + answerSlots.size() * ANSWER_SLOT_BYTES + waitingAnswerBytes + answerWriter.unsentBytes());
         }
     }
 
@@ -642,6 +641,16 @@
         return holdsRequests() || endsUnanswered || isStalled();
     }
 
+    /** The memory of commands, whole or in part, that can be freed without taking an answer from the client. */
+    int freeableInputBytes() {
+        boolean closesOverAnswers = !holdsRequests() && answerWriter.unsentBytes() > 0;
+        return closed || closesOverAnswers ? 0 : inputBytes();
+    }
+
+    private int inputBytes() {
+        return readBufferSize + queuedCommands.heapBytes() + statementBytesInHand;
+    }
+
     private boolean holdsRequests() {
         return requestsInHand > 0 || queuedCommands.holdsRequests();
     }
--- a/router/src/test/java/ledgewall/net/AnswersOnTheirWayTest.java
+++ b/router/src/test/java/ledgewall/net/AnswersOnTheirWayTest.java
@@ -99,6 +99,28 @@
         }
     }
 
+    /** Guards against answers that find no room because others fill the memory with parts of messages. */
+    @Test
+    void largeAnswerIsServedWhileOthersHoldPartsOfMessages() throws Exception {
+        byte[] value = new byte[LARGE_VALUE_BYTES];
+        byte[] partOfAMessage = Arrays.copyOf(Wire.query("x".repeat(190_000)), 180_000);
+        try (RouterHarness harness = new RouterHarness()) {
+            StubServer host = StubServer.host((connection, sql) -> connection.write(Wire.row(value), Wire.ready()));
+            harness.host("m", host).start(ScriptedPolicy.sendTo("m", 0));
+            for (int i = 0; i < 100; i++) {
+                harness.client().send(partOfAMessage);
+            }
+            while (harness.router().counts().of(Counters.Count.CUT_OFF) == 0) {
+                Thread.onSpinWait(); // the test's timeout ends the loop
+            }
+            Client client = harness.client();
+            for (int i = 0; i < 5; i++) {
+                client.send(RouterHarness.lookQuery("r" + i));
+                assertEquals("TDC", client.readTypesUntilReady());
+            }
+        }
+    }
+
     private static int countAnswers(Client client) {
         int count = 0;
         try {
