Say again why answers are joined into one write

Cause: the reason stood at a method that had moved to AnswerWriter, and was lost on the way. Change: comments only.

--- a/router/src/main/java/ledgewall/net/AnswerWriter.java
+++ b/router/src/main/java/ledgewall/net/AnswerWriter.java
@@ -6,7 +6,7 @@
 import org.apache.mina.core.session.IoSession;
 
 /**
- * Writes a client's answers in order, several small ones in one write. Counts what the I/O thread has not written yet, and
+ * Writes a client's answers in order. Counts what the I/O thread has not written yet, and
  * notices a client that takes nothing of it: only time tells that, since every answer waits for the I/O thread for a moment.
  */
 final class AnswerWriter {
@@ -42,7 +42,7 @@
         pendingBytes += answer.length;
     }
 
-    /** Hands all pending answers to the I/O thread. */
+    /** Hands all pending answers to the I/O thread, joined: a write for each would cost a system call and a task for each. */
     void flush() {
         int first = 0;
         while (first < pending.size()) {
