Close no idle client for memory that it does not hold

Where answers on their way fill the memory, idle clients were closed one after the other, each of which holds half a kilobyte.

Cause: a client without requests and without answers on their way counted as one that can free memory, whatever it held, and the limit goes on to the next client now until the total is within it.

Change: such a client counts only if it holds commands, whole or in part.

Measured: AnswersOnTheirWayTest.idleClientIsNotClosedForMemoryButOneWithAPartOfAMessageIs failed before, and passes.

--- a/router/src/main/java/ledgewall/net/ClientConnection.java
+++ b/router/src/main/java/ledgewall/net/ClientConnection.java
@@ -634,11 +634,12 @@
 
     /**
      * Whether memory of the connection can be freed without taking an answer from a client that takes its answers: by answering
-     * its requests at once, by ending it if it holds no request and no answer, or because it is stalled.
+     * its requests at once, by ending it if all that it holds are commands, whole or in part, or because it is stalled.
      */
     boolean canFreeMemory() {
-        boolean endsUnanswered = !closed && answerWriter.unsentBytes() == 0;
-        return holdsRequests() || endsUnanswered || isStalled();
+        boolean holdsInput = incompleteMessage.bytes() > 0 || !queuedCommands.isEmpty();
+        boolean holdsOnlyInput = !closed && holdsInput && answerWriter.unsentBytes() == 0;
+        return holdsRequests() || holdsOnlyInput || isStalled();
     }
 
     /** The memory of commands, whole or in part, that can be freed without taking an answer from the client. */
--- a/router/src/test/java/ledgewall/net/AnswersOnTheirWayTest.java
+++ b/router/src/test/java/ledgewall/net/AnswersOnTheirWayTest.java
@@ -78,6 +78,17 @@
         }
     }
 
+    /** Guards against idle clients that are closed one after the other, where answers fill the memory and they hold none of it. */
+    @Test
+    void idleClientIsNotClosedForMemoryButOneWithAPartOfAMessageIs() {
+        try (ConnectionFixture fixture = new ConnectionFixture()) {
+            assertFalse(fixture.connection().canFreeMemory());
+            byte[] query = RouterHarness.lookQuery("1");
+            fixture.read(Arrays.copyOf(query, query.length / 2)).run();
+            assertTrue(fixture.connection().canFreeMemory());
+        }
+    }
+
     /** Guards against clients with many commands at once that are cut off before their answers. */
     @Test
     void eachOfManyReadsOfLargeValuesSentAtOnceGetsOneFinalAnswer() throws Exception {
