Free no memory for an answer whose request has ended

Cause: found by reading. A member's answer that came after its request had been answered or abandoned was checked for room like any other, so that clients could be closed, or their requests given up, for an answer that nobody gets.

Change: such an answer is dropped before the check.

Measured: no test of its own, since the exact level of the memory cannot be set through sockets; the tests of answers, clients and attempts pass.

--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -412,6 +412,9 @@
 
     @Override
     public void answerReceived(Attempt attempt, Reply reply) {
+        if (attempt.request().isEnded()) {
+            return; // so that nobody has to free memory for an answer that nobody gets
+        }
         byte[] answer = withReadyForQuery(reply.resultMessages());
         if (!context.bufferedBytes().hasRoomForAnswer(answer.length)) {
             replaceAnswer(attempt, answer.length);
