Name the waits of the back-off, and tidy comments of this change

Measured: 'mvn -DskipTests verify' passes, and so do the tests of the watcher, of discovery and of answers.

--- a/router/src/main/java/ledgewall/discovery/WatchBackoff.java
+++ b/router/src/main/java/ledgewall/discovery/WatchBackoff.java
@@ -16,6 +16,13 @@
     /** Longest time between the last sign of life of discovery, or a call that may have got lost, and the next call. */
     private static final long MAX_ASK_INTERVAL_NS = CHANGE_KNOWN_WITHIN_NS - ANSWER_TIME_NS;
 
+    /** Where changes are pushed, each second counts, and the discovery agent is asked at no cost to others. */
+    private static final long MIN_PUSH_WAIT_NS = 100 * NANOS_PER_MILLI;
+    private static final long MAX_PUSH_WAIT_NS = 500 * NANOS_PER_MILLI;
+    /** Where lists are asked for, the calls of all routers load discovery. */
+    private static final long MIN_ON_DEMAND_WAIT_NS = 1_000 * NANOS_PER_MILLI;
+    private static final long MAX_ON_DEMAND_WAIT_NS = MAX_ASK_INTERVAL_NS;
+
     private final long minNs;
     private final long maxNs;
     private final SplittableRandom random;
@@ -28,14 +35,12 @@
         this.waitNs = minNs;
     }
 
-    /** Where changes are pushed, each second counts, and the discovery agent is asked at no cost to others. */
     static WatchBackoff whereListsArePushed(SplittableRandom random) {
-        return new WatchBackoff(100 * NANOS_PER_MILLI, 500 * NANOS_PER_MILLI, random);
+        return new WatchBackoff(MIN_PUSH_WAIT_NS, MAX_PUSH_WAIT_NS, random);
     }
 
-    /** Where lists are asked for, the calls of all routers load discovery. */
     static WatchBackoff whereListsAreAskedFor(SplittableRandom random) {
-        return new WatchBackoff(1_000 * NANOS_PER_MILLI, MAX_ASK_INTERVAL_NS, random);
+        return new WatchBackoff(MIN_ON_DEMAND_WAIT_NS, MAX_ON_DEMAND_WAIT_NS, random);
     }
 
     /** Discovery works, or another one is asked from now on. */
--- a/router/src/main/java/ledgewall/net/AnswerWriter.java
+++ b/router/src/main/java/ledgewall/net/AnswerWriter.java
@@ -6,14 +6,14 @@
 import org.apache.mina.core.session.IoSession;
 
 /**
- * Writes a client's answers in order. Counts what the I/O thread has not written yet, and
- * notices a client that takes nothing of it: only time tells that, since every answer waits for the I/O thread for a moment.
+ * Writes a client's answers in order. Counts what the I/O thread has not written yet, and notices a client that takes nothing of
+ * it: only time tells that, since every answer waits for the I/O thread for a moment.
  */
 final class AnswerWriter {
     /** Answers are joined up to this size, so that large ones are counted as written one by one and are not copied. */
     private static final int MAX_JOINED_BYTES = 64 * 1024;
-    /** A client that has taken no byte for this long takes nothing. */
-    static final long STALL_TIMEOUT_NANOS = Clock.millisToNanos(2_300);
+    /** A client that has taken no byte for this long takes nothing; it has as long for the rest of a message. */
+    private static final long STALL_TIMEOUT_NANOS = Clock.millisToNanos(2_300);
 
     private final RouterContext context;
     /** Answers that have not been handed to the I/O thread. */
--- a/router/src/main/java/ledgewall/net/DrainBeforeResetProcessor.java
+++ b/router/src/main/java/ledgewall/net/DrainBeforeResetProcessor.java
@@ -16,8 +16,8 @@
  * discards what the same pass has read, so that a complete answer would be treated as a broken one. It suspends and resumes
  * reads on its own thread and leaves write interest unchanged: MINA changes both from the caller's thread, in a race with its
  * own, and loses a partial write, so that answers to a client could stop for good. A caller can wait until all data received
- * so far has been read, or have a task run then. It runs a task before each
- * selection. And it writes nothing to a connection whose {@link WriteDeadline} is over, but closes it.
+ * so far has been read, or have a task run then. It runs a task before each selection. And it writes nothing to a connection
+ * whose {@link WriteDeadline} is over, but closes it.
  */
 final class DrainBeforeResetProcessor extends NioProcessor {
     /** The first pass may have selected its sockets before the call; the second covers all of them. */
--- a/router/src/test/java/ledgewall/net/AnswersOnTheirWayTest.java
+++ b/router/src/test/java/ledgewall/net/AnswersOnTheirWayTest.java
@@ -78,7 +78,7 @@
         }
     }
 
-    /** Guards against idle clients that are closed one after the other, where answers fill the memory and they hold none of it. */
+    /** Guards against idle clients that are closed one after the other, as answers fill the memory of which they hold none. */
     @Test
     void idleClientIsNotClosedForMemoryButOneWithAPartOfAMessageIs() {
         try (ConnectionFixture fixture = new ConnectionFixture()) {
