Let the first answer come only once both hosts have the request, in AttemptOutcomeTest

Seen once beside load on: firstAnswerIsServedAndTheSecondIsDropped expected OK for the second attempt and got NEVER_SENT.

Cause: the test lets one host answer at once and relies on the other one's connection being up by then. An attempt that still waits for its connection when its request is answered is not sent and ends as NEVER_SENT, as it should.

Change: the host that answers first waits until the other one has received the request. All assertions stay.

--- a/router/src/test/java/ledgewall/net/AttemptOutcomeTest.java
+++ b/router/src/test/java/ledgewall/net/AttemptOutcomeTest.java
@@ -389,16 +389,22 @@
         assertFalse(policy.hasReceived(Outcome.class));
     }
 
+    /** The first answer comes only once both hosts have the request: an attempt that waits for its connection by then is not sent. */
     @Test
     void firstAnswerIsServedAndTheSecondIsDropped() throws IOException, InterruptedException {
+        CountDownLatch slowHasRequest = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
         ScriptedPolicy policy = new ScriptedPolicy(event -> event instanceof Arrival arrival
             ? List.of(new RoutingPolicy.Send(arrival.request(), "slow", 0), new RoutingPolicy.Send(arrival.request(), "m", 0))
             : List.of());
         harness.host("slow", StubServer.host((connection, sql) -> {
+            slowHasRequest.countDown();
             await(release);
             connection.write(Wire.row(new byte[] {1}), Wire.ready());
-        })).host("m", StubServer.host((connection, sql) -> connection.write(Wire.row(VALUE), Wire.ready())));
+        })).host("m", StubServer.host((connection, sql) -> {
+            await(slowHasRequest);
+            connection.write(Wire.row(VALUE), Wire.ready());
+        }));
         harness.start(policy);
         Client client = harness.client();
         client.send(RouterHarness.lookQuery("1"));
