Anchor the router's clock with both clocks read in the same moment

What was seen: the router's clock is behind Unix time from its start on. All machines read one clock, so everything that a host dates with the present seems to lie ahead, the age of data looks smaller than it is, and the time of an answer is no bound for a commit that came before it.

Cause: Clock.ofSystem read Unix time, then linked a method reference (some 10 ms in a cold process), and only then read the monotonic clock. Any other pause between the two readings adds to it.

Change: both clocks are read 20 times, and the reading during which the least time passed counts. The monotonic clock is read before Unix time, so that the clock is never behind.

The new test RouterComponentsTest#pauseWhileTheClockIsAnchoredDoesNotMakeItLate failed before (15 ms late).

--- a/router/src/main/java/ledgewall/net/Clock.java
+++ b/router/src/main/java/ledgewall/net/Clock.java
@@ -13,23 +13,49 @@
     private static final double MAX_UNIX_MILLIS = 7.258e12;
     private static final double MILLIS_PER_SECOND = 1e3;
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
+    /** How often both clocks are read to find their difference: pauses of the process hardly meet every reading. */
+    private static final int ANCHOR_READINGS = 20;
 
     private final LongSupplier monotonic;
     private final long offsetNanos;
 
-    private Clock(LongSupplier monotonic, long unixNanos) {
+    private Clock(LongSupplier monotonic, long offsetNanos) {
         this.monotonic = monotonic;
-        this.offsetNanos = unixNanos - monotonic.getAsLong();
+        this.offsetNanos = offsetNanos;
     }
 
     static Clock ofSystem() {
+        return anchored(System::nanoTime, Clock::systemUnixNanos);
+    }
+
+    /**
+     * A clock that shows the time of {@code unixNanos} and advances with {@code monotonic}, both in nanoseconds. The two cannot
+     * be read at the same instant: of several readings, the one during which the least time has passed counts. The clock is
+     * ahead by that time at most, and not behind, so that nothing that another machine has dated seems to lie in the future.
+     */
+    static Clock anchored(LongSupplier monotonic, LongSupplier unixNanos) {
+        long offset = 0;
+        long shortest = Long.MAX_VALUE;
+        for (int reading = 0; reading < ANCHOR_READINGS; reading++) {
+            long before = monotonic.getAsLong();
+            long unix = unixNanos.getAsLong();
+            long duration = monotonic.getAsLong() - before;
+            if (duration < shortest) {
+                shortest = duration;
+                offset = unix - before;
+            }
+        }
+        return new Clock(monotonic, offset);
+    }
+
+    private static long systemUnixNanos() {
         Instant now = Instant.now();
-        return new Clock(System::nanoTime, now.getEpochSecond() * NANOS_PER_SECOND + now.getNano());
+        return now.getEpochSecond() * NANOS_PER_SECOND + now.getNano();
     }
 
     /** A clock that starts at {@code unixNanos} and advances with {@code monotonic}, in nanoseconds. */
     static Clock of(LongSupplier monotonic, long unixNanos) {
-        return new Clock(monotonic, unixNanos);
+        return new Clock(monotonic, unixNanos - monotonic.getAsLong());
     }
 
     /** The current time in nanoseconds. */
--- a/router/src/test/java/ledgewall/net/RouterComponentsTest.java
+++ b/router/src/test/java/ledgewall/net/RouterComponentsTest.java
@@ -8,7 +8,9 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongSupplier;
 import ledgewall.RoutingPolicy;
 import ledgewall.RoutingPolicy.Event;
 import ledgewall.RoutingPolicy.Abandoned;
@@ -27,6 +29,19 @@
         assertEquals(1_000_007, clock.now());
     }
 
+    /** Guards against a clock that stays behind Unix time by as long as the process paused while it read both clocks. */
+    @Test
+    void pauseWhileTheClockIsAnchoredDoesNotMakeItLate() {
+        AtomicLong time = new AtomicLong(7 * RouterHarness.MS);
+        AtomicInteger readings = new AtomicInteger();
+        LongSupplier pausing = () -> time.getAndAdd(readings.incrementAndGet() < 10 ? 15 * RouterHarness.MS : 100);
+        long unixAtZero = 1_767_225_600_000_000_000L;
+        Clock clock = Clock.anchored(pausing, () -> unixAtZero + pausing.getAsLong());
+        long unixNow = unixAtZero + time.get();
+        long ahead = clock.now() - unixNow;
+        assertTrue(ahead >= 0 && ahead < 1_000, "ahead by " + ahead + " ns");
+    }
+
     @Test
     void unixTimesAreConvertedToNanosAndInvalidOnesToZero() {
         assertEquals(1_767_225_600_123_000_000L, Clock.ofUnixMillis(1_767_225_600_123.0));
