--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -444,13 +444,32 @@
                 withReadyForQuery(MessageWriter.error(SqlState.SYNTAX_ERROR, "no member could use this statement")))) {
             context.counters().add(Counters.Count.BAD_QUERIES);
         }
+        long position = HostReports.position(reply, endedAt);
+        if (outcome == AttemptOutcome.SERVED) {
+            countServed(attempt, HostReports.role(reply), position);
+        }
         context.loop().postEvent(new RoutingPolicy.Outcome(
             request.number(), attempt.number(), attempt.member(), outcome.result(), Math.max(0, endedAt - attempt.sentAt()),
-            request.isEnded(), HostReports.role(reply), HostReports.position(reply, endedAt),
-            HostReports.report(reply, endedAt)));
+            request.isEnded(), HostReports.role(reply), position, HostReports.report(reply, endedAt)));
         removeIfComplete(request);
     }
 
+    /** Counts what sessions cost the primary: how many of their reads it serves, and which writes leave their position open. */
+    private void countServed(Attempt attempt, RoutingPolicy.Role role, long position) {
+        Consistency consistency = consistencyOf(attempt.request());
+        if (consistency == Consistency.SESSION) {
+            context.counters().add(Counters.Count.SESSION_READS);
+            context.counters().add(Counters.Count.SESSION_READS_AT_PRIMARY, role == RoutingPolicy.Role.PRIMARY ? 1 : 0);
+        } else if (consistency == Consistency.WRITE && position == RoutingPolicy.NONE) {
+            context.counters().add(Counters.Count.WRITES_WITHOUT_POSITION);
+            LOG.debug("event=write_without_position id={} member={}", attempt.request().statement().id(), attempt.member());
+        }
+    }
+
+    private Consistency consistencyOf(ClientRequest request) {
+        return settings.classes().get(classIndexes.get(request.statement().className())).consistency();
+    }
+
     private void removeIfComplete(ClientRequest request) {
         boolean complete = request.isEnded() && !request.hasOpenAttempt();
         if (complete && requests.remove(request.number(), request) && request.attempts().isEmpty()) {
--- /dev/null
+++ b/router/src/test/java/ledgewall/net/SessionReadTest.java
@@ -0,0 +1,107 @@
+package ledgewall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import ledgewall.ReplicaRoutingPolicy;
+import ledgewall.standin.Client;
+import ledgewall.standin.Message;
+import ledgewall.standin.StubServer;
+import ledgewall.standin.Wire;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Sessions that write at a primary and read what they wrote, beside a replica that has stopped applying commits. */
+@Timeout(60)
+class SessionReadTest {
+    private static final long WINDOW_MS = 5_000;
+    private static final long COUNT_TIMEOUT_MS = 20_000;
+
+    private final RouterHarness harness = new RouterHarness();
+    /** Up to when the replica has applied commits, in Unix milliseconds. */
+    private volatile long replicaPositionMs = System.currentTimeMillis();
+    private long lastId;
+
+    @AfterEach
+    void close() throws IOException {
+        harness.close();
+    }
+
+    /** How the primary answers a write. */
+    private interface WriteAnswer {
+        void send(StubServer.Connection connection, long commitMs) throws IOException;
+    }
+
+    /** Starts a router before a primary, which answers reads with "p" and writes as given, and a replica, which answers "r". */
+    private Client start(WriteAnswer writeAnswer) throws IOException {
+        StubServer primary = StubServer.host((connection, sql) -> {
+            if (sql.startsWith("SHOW")) {
+                connection.write(report(System.currentTimeMillis(), 1));
+            } else if (sql.contains("INSERT")) {
+                writeAnswer.send(connection, System.currentTimeMillis());
+            } else {
+                connection.write(Wire.row(Wire.text("p")), Wire.param("mode", "read-write"), Wire.ready());
+            }
+        });
+        StubServer replica = StubServer.host((connection, sql) -> connection.write(sql.startsWith("SHOW")
+            ? report(replicaPositionMs, 0)
+            : Wire.join(Wire.row(Wire.text("r")), Wire.param("mode", "read-only"), Wire.ready())));
+        harness.deduplicationWindowMs(WINDOW_MS).host("p", primary).host("r", replica).startWith(ReplicaRoutingPolicy::new);
+        return harness.client();
+    }
+
+    private static byte[] report(long positionMs, int primaryFlag) {
+        String report = "x0=" + positionMs / 1_000 + "." + String.format("%03d", positionMs % 1_000) + ",x1=" + primaryFlag;
+        return Wire.join(Wire.row(report.getBytes(StandardCharsets.US_ASCII)), Wire.ready());
+    }
+
+    /** Sends a request until it is served, since a refusal says nothing about the member; returns the value. */
+    private String serve(Client client, String className, String sql) throws IOException {
+        while (true) {
+            client.send(Wire.query("/* id=" + ++lastId + ",c=" + className + ",t=acme,d=60000,cluster=2 */ " + sql));
+            List<Message> answer = client.readUntilReady();
+            if (answer.get(0).type() == 'T') {
+                byte[] row = answer.get(1).body();
+                return Character.toString(row[row.length - 2]);
+            }
+        }
+    }
+
+    private void write(Client client) throws IOException {
+        serve(client, "keyed", "INSERT INTO facts (code, data) VALUES ('s1', '\\x01') RETURNING data");
+    }
+
+    private String read(Client client) throws IOException {
+        return serve(client, "own", "SELECT data FROM facts WHERE code = 's1'");
+    }
+
+    /** Waits until a counter has a value: the client can have its answer before the exchange with the member has ended. */
+    private void awaitCount(long expected, Counters.Count count) {
+        long until = System.nanoTime() + COUNT_TIMEOUT_MS * RouterHarness.MS;
+        while (harness.router().counts().of(count) < expected && System.nanoTime() < until) {
+            Thread.onSpinWait();
+        }
+        assertEquals(expected, harness.router().counts().of(count), count.name());
+    }
+
+    /** The counters show what sessions cost the primary, and which writes leave their position open. */
+    @Test
+    void sessionReadsAtThePrimaryAndWritesWithoutAPositionAreCounted() throws IOException {
+        AtomicBoolean tellsPosition = new AtomicBoolean(true);
+        Client client = start((connection, commitMs) -> connection.write(Wire.row(Wire.text("w")),
+            tellsPosition.get() ? Wire.param("wal_time", Long.toString(commitMs)) : new byte[0], Wire.ready()));
+        assertEquals("r", read(client));
+        write(client);
+        assertEquals("p", read(client));
+        awaitCount(2, Counters.Count.SESSION_READS);
+        awaitCount(1, Counters.Count.SESSION_READS_AT_PRIMARY);
+        awaitCount(0, Counters.Count.WRITES_WITHOUT_POSITION);
+        tellsPosition.set(false);
+        write(client);
+        awaitCount(1, Counters.Count.WRITES_WITHOUT_POSITION);
+    }
+}
