--- a/core/src/test/java/ledgewall/PolicyHarness.java
+++ b/core/src/test/java/ledgewall/PolicyHarness.java
@@ -57,6 +57,17 @@
         return settings(RetrySafety.AT_MOST_ONCE, StaleReadHandling.REFUSES, false);
     }
 
+    /** A harness whose classes 0 and 1 are reads of this consistency, beside the class {@link #WRITE}; its group is probed. */
+    static PolicyHarness withReadClasses(Consistency consistency, boolean requestsCarryTokens) {
+        Settings base = settings();
+        RequestClass read = new RequestClass(consistency, 0, RetrySafety.IDEMPOTENT, DeduplicationScope.ALL, 0, 300 * MS,
+            750 * MS, 2, 0, false);
+        ReplicationSettings replication = new ReplicationSettings(StaleReadHandling.SERVES, 0, false, requestsCarryTokens,
+            ListedRoleTiming.NEVER, true, true);
+        return new PolicyHarness(new Settings(2, 0, 0, 5 * MS, false, List.of(read, read, base.classes().get(WRITE)),
+            List.of(), 1, base.limits(), replication, base.constraints())).withProbedGroup();
+    }
+
     static Listing listing(String member, Phase phase, long startedAt) {
         return new Listing(member, 1, 0, 0, phase, 1, false, startedAt);
     }
