Keep a session's reads to its served writes whatever is known of their positions

Cause: a write was remembered for its session only once its exchange had ended, with the position told then. The client has the answer at CommandComplete. A position from before the write, told in a wrong unit or before the commit in a reply that then broke off, was believed as well.

Change: the policy hears WriteAnswered in the turn in which the answer goes to its client. SessionWrites remembers writes: until the position is told, and where none is told or the told one is impossible (before the request by more than its window of repeats, over 100 ms ahead), the time of the answer stands in, rounded up to the resolution of commits. A commit comes before its answer, and all machines read one clock, so a replica past that time has the write. A position counts only with the end of its reply. What a read requires is looked up for each attempt, so that a repeat sees a write that was answered meanwhile, and a token does not hide a later write of this router.

--- a/core/src/main/java/ledgewall/Freshness.java
+++ b/core/src/main/java/ledgewall/Freshness.java
@@ -11,6 +11,7 @@
     private static final double NEAR_BOUND = 0.33;
 
     private final ReplicationSettings replication;
+    private final SessionWrites sessionWrites;
     private final boolean probesReportPosition;
     /** Whether so many routers share the members that each asks for a position only when a read requires it. */
     private final boolean manyRouters;
@@ -19,8 +20,9 @@
     /** The smallest staleness bound of any class, in nanoseconds. */
     private final long smallestBound;
 
-    Freshness(Settings settings, boolean sharesObservations) {
+    Freshness(Settings settings, boolean sharesObservations, SessionWrites sessionWrites) {
         this.replication = settings.replication();
+        this.sessionWrites = sessionWrites;
         this.probesReportPosition = settings.limits().probing() && settings.replication().probesReportPosition();
         this.manyRouters = settings.routerCount() > ProbeScheduler.MAX_INDEPENDENT_ROUTERS;
         this.positionLifetime = (sharesObservations ? 2 : 1) * ProbeScheduler.ROUND_PERIOD + ProbeScheduler.URGENT_PROBE_GAP;
@@ -42,11 +44,22 @@
         }
         return switch (request.requestClass.consistency()) {
             case ANY, WRITE -> Long.MAX_VALUE;
-            case FRESH, SESSION -> member.position >= request.requiredPosition ? Long.MAX_VALUE : Long.MIN_VALUE;
+            case FRESH -> member.position >= request.requiredPosition ? Long.MAX_VALUE : Long.MIN_VALUE;
+            case SESSION -> member.position >= requiredBySession(request) ? Long.MAX_VALUE : Long.MIN_VALUE;
             case BOUNDED -> member.position + request.requestClass.stalenessBound();
         };
     }
 
+    /**
+     * The position that a session's read requires now: that of the writes which this router remembers, which may have been
+     * served since the read arrived, and the one that its token tells.
+     */
+    private long requiredBySession(Request request) {
+        long session = request.arrival.session();
+        return request.arrival.timeSinceWrite() == RoutingPolicy.NONE ? sessionWrites.requiredPosition(session)
+            : Math.max(request.requiredPosition, sessionWrites.rememberedPosition(session));
+    }
+
     /** Whether only the primary can serve a request. */
     boolean requiresPrimary(Request request) {
         return request.requestClass.consistency() == Consistency.WRITE || request.requestClass.consistency() == Consistency.FRESH
--- a/core/src/main/java/ledgewall/ReplicaRoutingPolicy.java
+++ b/core/src/main/java/ledgewall/ReplicaRoutingPolicy.java
@@ -65,10 +65,10 @@
     private static final double STARTUP_QUEUE_SHARE = 0.1;
     /** The part of its latency target that a read may be queued: long enough for a burst to pass. */
     private static final double READ_QUEUE_SHARE = 0.05;
-    /** Sessions whose last write is remembered: they take some megabytes at most. */
-    private static final int MAX_REMEMBERED_SESSIONS = 20_000;
     /** The first delay before subscribing again after a failure; the constraints give the longest. */
     private static final long MIN_SUBSCRIBE_RETRY = SECOND;
+    /** A member that tells a position which cannot be true may do so with every write: one warning per interval is logged. */
+    private static final long POSITION_WARNING_INTERVAL = 10 * SECOND;
     /** The results that prove that the member answered. */
     private static final List<Result> ANSWERED_RESULTS = List.of(Result.OK, Result.MISDIRECTED, Result.REJECTED, Result.ERROR);
 
@@ -96,15 +96,14 @@
     private final SlowStart slowStart;
     private final SendRules sendRules;
     private ProbeScheduler probeScheduler;
-    /** The position of the last write of each session, oldest session first. */
-    private final Map<Long, Long> lastWritePositions = new LinkedHashMap<>();
+    private final SessionWrites sessionWrites = new SessionWrites();
     private final List<Request> requestsToRoute = new ArrayList<>();
     private final boolean sharesObservations;
     private final List<GossipMessage.Observation> observationsToShare = new ArrayList<>();
     private List<Action> actions = new ArrayList<>();
     /** Whether the router itself stalled before this call. */
     private boolean stalled;
-    private boolean remembersWrites;
+    private final boolean remembersWrites;
     private long stalledAt = Long.MIN_VALUE;
     private long now;
     /** When this policy was first called. */
@@ -112,14 +111,13 @@
     private long nextTick = Long.MIN_VALUE;
     private long subscribeAt = Long.MAX_VALUE;
     private long subscribeRetryDelay = MIN_SUBSCRIBE_RETRY;
-    /** The highest write position of the sessions that were evicted. */
-    private long evictedWritePosition = Long.MIN_VALUE;
+    private long nextPositionWarningAt = Long.MIN_VALUE;
 
     public ReplicaRoutingPolicy(Settings settings, long seed) {
         this.settings = settings;
         this.random = new SplittableRandom(seed);
         this.sharesObservations = ProbeScheduler.sharesObservations(settings);
-        this.freshness = new Freshness(settings, sharesObservations);
+        this.freshness = new Freshness(settings, sharesObservations, sessionWrites);
         this.slowStart = new SlowStart(settings);
         this.tickInterval = Math.max(2 * settings.tickInterval(), 10 * MS);
         this.sendRules = new SendRules(settings, freshness, slowStart, tickInterval);
@@ -175,6 +173,8 @@
             onArrival(arrival);
         } else if (event instanceof Outcome outcome) {
             onOutcome(outcome);
+        } else if (event instanceof WriteAnswered answered && remembersWrites && requests.containsKey(answered.request())) {
+            sessionWrites.onAnswered(requests.get(answered.request()), now);
         } else if (event instanceof ProbeResult probeResult && members.containsKey(probeResult.member())) {
             onProbeResult(probeResult);
         } else if (event instanceof PeerMessage message && sharesObservations) {
@@ -211,8 +211,8 @@
         long firstRequestedAt = now - (startKnown ? Math.max(0, requestClass.timeout() - arrival.timeLeft()) : 0);
         long sendDeadline = requestClass.lateValue() > 0 ? deadline
             : Math.min(deadline, firstRequestedAt + requestClass.latencyTarget() - tickInterval);
-        long requiredPosition = requestClass.consistency() == Consistency.FRESH ? now : arrival.timeSinceWrite() != NONE
-            ? now - arrival.timeSinceWrite() : lastWritePositions.getOrDefault(arrival.session(), evictedWritePosition);
+        long requiredPosition = requestClass.consistency() == Consistency.FRESH ? now
+            : arrival.timeSinceWrite() != NONE ? now - arrival.timeSinceWrite() : SessionWrites.NO_WRITE;
         return new Request(arrival, requestClass, groupOf(arrival.group()), firstRequestedAt, deadline, sendDeadline,
             requiredPosition);
     }
@@ -364,14 +364,12 @@
         groupsToResume.add(member.group);
         updateHealth(member, attempt, outcome);
         updateRole(member, outcome.role(), now);
-        updatePosition(member, outcome.position(), now);
-        if (outcome.result() == Result.OK && request.requestClass.consistency() == Consistency.WRITE && remembersWrites) {
-            lastWritePositions.merge(request.arrival.session(), outcome.position(), Math::max);
-            // An evicted write counts for all sessions unknown here: reads get newer data than they require, never older.
-            if (lastWritePositions.size() > MAX_REMEMBERED_SESSIONS) {
-                evictedWritePosition = Math.max(evictedWritePosition,
-                    lastWritePositions.remove(lastWritePositions.keySet().iterator().next()));
-            }
+        boolean positionUsed = !servedSessionWrite(request, outcome)
+            || sessionWrites.onServed(request, outcome.position(), now);
+        if (positionUsed) {
+            updatePosition(member, outcome.position(), now);
+        } else {
+            warnOfPosition(outcome);
         }
         if (request.finished || outcome.complete()) {
             finish(request);
@@ -380,6 +378,20 @@
         }
     }
 
+    /** Whether an attempt served a write that reads of its session have to see. */
+    private boolean servedSessionWrite(Request request, Outcome outcome) {
+        return remembersWrites && request.requestClass.consistency() == Consistency.WRITE
+            && (outcome.result() == Result.OK || sessionWrites.isAnswered(request));
+    }
+
+    private void warnOfPosition(Outcome outcome) {
+        if (outcome.position() != NONE && now >= nextPositionWarningAt) {
+            nextPositionWarningAt = now + POSITION_WARNING_INTERVAL;
+            actions.add(new LogMessage("event=write_position_implausible member=" + outcome.member()
+                + " position=" + outcome.position()));
+        }
+    }
+
     /** Updates health and load from the result of an attempt and the part of its latency target that it took. */
     private void updateHealth(Member member, Attempt attempt, Outcome outcome) {
         int index = attempt.request().classIndex();
--- a/core/src/main/java/ledgewall/Request.java
+++ b/core/src/main/java/ledgewall/Request.java
@@ -15,7 +15,7 @@
     final long deadline;
     /** No attempt starts at or after this time. */
     final long sendDeadline;
-    /** The position that a member must have reached for a read that must see a write. */
+    /** The position that a member must have reached for a read, as far as the read itself tells. */
     final long requiredPosition;
     final List<Member> triedMembers = new ArrayList<>();
     /** By number; those that have ended are null. */
--- a/core/src/main/java/ledgewall/RoutingPolicy.java
+++ b/core/src/main/java/ledgewall/RoutingPolicy.java
@@ -164,13 +164,22 @@
     record Arrival(long request, int requestClass, int tenant, long group, long session, long timeLeft,
                    long timeSinceWrite, boolean retry) implements Event { }
 
-    /** The end of an attempt. {@code position} is {@link #NONE} if the answer carried none. */
+    /**
+     * The end of an attempt. {@code position} is {@link #NONE} if the answer carried none; for a write it is the time of its
+     * commit, if that is known for certain.
+     */
     record Outcome(long request, int attempt, String member, Result result, long elapsed, boolean complete,
                    Role role, long position, Report report) implements Event { }
 
     /** The first part of a member's answer has arrived: the request must not be sent elsewhere any more. */
     record AnswerStarted(long request, int attempt, String member) implements Event { }
 
+    /**
+     * The complete answer to a write has arrived, and its client can have it from now on. The attempt's {@link Outcome}, which
+     * may tell the write's position, follows once the exchange with the member has ended, in a later batch perhaps.
+     */
+    record WriteAnswered(long request, int attempt) implements Event { }
+
     /** The client no longer waits for an answer: it is gone, or the router has answered without the policy. */
     record Abandoned(long request) implements Event { }
 
--- a/core/src/test/java/ledgewall/PolicyHarness.java
+++ b/core/src/test/java/ledgewall/PolicyHarness.java
@@ -59,7 +59,11 @@
 
     /** A harness whose classes 0 and 1 are reads of this consistency, beside the class {@link #WRITE}; its group is probed. */
     static PolicyHarness withReadClasses(Consistency consistency, boolean requestsCarryTokens) {
-        Settings base = settings();
+        return withReadClasses(consistency, requestsCarryTokens, RetrySafety.AT_MOST_ONCE);
+    }
+
+    static PolicyHarness withReadClasses(Consistency consistency, boolean requestsCarryTokens, RetrySafety writeSafety) {
+        Settings base = settings(writeSafety, StaleReadHandling.SERVES, false);
         RequestClass read = new RequestClass(consistency, 0, RetrySafety.IDEMPOTENT, DeduplicationScope.ALL, 0, 300 * MS,
             750 * MS, 2, 0, false);
         ReplicationSettings replication = new ReplicationSettings(StaleReadHandling.SERVES, 0, false, requestsCarryTokens,
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -412,6 +412,9 @@
 
     @Override
     public void answerReceived(Attempt attempt, Reply reply) {
+        if (consistencyOf(attempt.request()) == Consistency.WRITE) {
+            context.loop().postEvent(new RoutingPolicy.WriteAnswered(attempt.request().number(), attempt.number()));
+        }
         if (attempt.request().isEnded()) {
             return; // so that nobody has to free memory for an answer that nobody gets
         }
@@ -444,7 +447,8 @@
                 withReadyForQuery(MessageWriter.error(SqlState.SYNTAX_ERROR, "no member could use this statement")))) {
             context.counters().add(Counters.Count.BAD_QUERIES);
         }
-        long position = HostReports.position(reply, endedAt);
+        // A host may report a position before a commit, and the commit's own behind it: only the end of the reply makes it final.
+        long position = reply.ready() ? HostReports.position(reply, endedAt) : RoutingPolicy.NONE;
         if (outcome == AttemptOutcome.SERVED) {
             countServed(attempt, HostReports.role(reply), position);
         }
