--- a/router/src/test/java/ledgewall/net/AttemptOutcomeTest.java
+++ b/router/src/test/java/ledgewall/net/AttemptOutcomeTest.java
@@ -389,7 +389,7 @@
         assertFalse(policy.hasReceived(Outcome.class));
     }
 
-    /** The first answer comes only once both hosts have the request: an attempt that waits for its connection by then is not sent. */
+    /** The first answer comes only once both hosts have the request: an attempt that waits for a connection then is not sent. */
     @Test
     void firstAnswerIsServedAndTheSecondIsDropped() throws IOException, InterruptedException {
         CountDownLatch slowHasRequest = new CountDownLatch(1);
