Round positions of members down and commits up, to the millisecond

A commit that is told with a fraction was rounded down, and the time in a client's token was taken for the start of the millisecond that it names.

Change: positions are parsed as decimal numbers, since the nearest double of a Unix time in seconds may lie 0.1 us above it. A member's position is rounded down, a write's commit up, and a token stands for the end of its millisecond. RouterComponentsTest asserts the same values as before, of decimal numbers instead of doubles.

Result: reportPositionIsRoundedDownToTheMillisecond (3 of 6 cases) and commitIsRoundedUpToTheMillisecond (2 of 3) of HostReportsTest failed before and pass.

--- a/router/src/main/java/ledgewall/net/Clock.java
+++ b/router/src/main/java/ledgewall/net/Clock.java
@@ -1,5 +1,7 @@
 package ledgewall.net;
 
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.time.Instant;
 import java.util.function.LongSupplier;
 
@@ -11,7 +13,8 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** The year 2200: later times are invalid, and would overflow. */
     private static final double MAX_UNIX_MILLIS = 7.258e12;
-    private static final double MILLIS_PER_SECOND = 1e3;
+    /** A second is ten to this power of milliseconds. */
+    private static final int MILLI_EXPONENT = 3;
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
     /** How often both clocks are read to find their difference: pauses of the process hardly meet every reading. */
     private static final int ANCHOR_READINGS = 20;
@@ -63,14 +66,28 @@
         return monotonic.getAsLong() + offsetNanos;
     }
 
-    /** Converts a Unix time in milliseconds; 0, which means "long ago" or "none", and invalid times become 0. */
+    /** Converts a Unix time in milliseconds, rounded down; 0, which means "long ago" or "none", and invalid times become 0. */
     static long ofUnixMillis(double millis) {
-        return millis > 0 && millis < MAX_UNIX_MILLIS ? (long) Math.floor(millis) * NANOS_PER_MILLI : 0;
+        return isValid(millis) ? (long) Math.floor(millis) * NANOS_PER_MILLI : 0;
     }
 
-    /** Converts a Unix time in seconds, rounded to the millisecond. */
-    static long ofUnixSeconds(double seconds) {
-        return ofUnixMillis(Math.round(seconds * MILLIS_PER_SECOND));
+    /** Converts a Unix time in milliseconds, rounded to a whole one; 0 and invalid times become 0. */
+    static long ofUnixMillis(BigDecimal millis, RoundingMode rounding) {
+        return isValid(millis.doubleValue()) ? millis.setScale(0, rounding).longValue() * NANOS_PER_MILLI : 0;
+    }
+
+    private static boolean isValid(double millis) {
+        return millis > 0 && millis < MAX_UNIX_MILLIS;
+    }
+
+    /** Converts a Unix time in seconds, rounded down to a whole millisecond; 0 and invalid times become 0. */
+    static long ofUnixSeconds(BigDecimal seconds) {
+        return ofUnixMillis(seconds.scaleByPowerOfTen(MILLI_EXPONENT), RoundingMode.FLOOR);
+    }
+
+    /** The latest time that whole milliseconds of Unix time stand for, however they were rounded; 0 for 0 and invalid ones. */
+    static long endOfUnixMilli(long millis) {
+        return isValid(millis) ? (millis + 1) * NANOS_PER_MILLI : 0;
     }
 
     static long millisToNanos(long millis) {
--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -289,7 +289,7 @@
         Statement statement = request.statement();
         Consistency consistency = settings.classes().get(classIndex).consistency();
         boolean usesSession = consistency == Consistency.WRITE || consistency == Consistency.SESSION;
-        long writtenAt = Clock.ofUnixMillis(statement.lastWriteMillis());
+        long writtenAt = Clock.endOfUnixMilli(statement.lastWriteMillis());
         boolean hasToken = consistency == Consistency.SESSION && settings.replication().requestsCarryTokens() && writtenAt != 0;
         long now = context.loop().now();
         return new RoutingPolicy.Arrival(
@@ -448,7 +448,7 @@
             context.counters().add(Counters.Count.BAD_QUERIES);
         }
         // A host may report a position before a commit, and the commit's own behind it: only the end of the reply makes it final.
-        long position = reply.ready() ? HostReports.position(reply, endedAt) : RoutingPolicy.NONE;
+        long position = reply.ready() ? position(request, reply, endedAt) : RoutingPolicy.NONE;
         if (outcome == AttemptOutcome.SERVED) {
             countServed(attempt, HostReports.role(reply), position);
         }
@@ -470,6 +470,11 @@
         }
     }
 
+    /** The position that a reply tells. A write's is rounded up, any other down: no member may seem to have what it lacks. */
+    private long position(ClientRequest request, Reply reply, long at) {
+        return consistencyOf(request) == Consistency.WRITE ? HostReports.commitPosition(reply, at) : HostReports.position(reply, at);
+    }
+
     private Consistency consistencyOf(ClientRequest request) {
         return settings.classes().get(classIndexes.get(request.statement().className())).consistency();
     }
--- a/router/src/test/java/ledgewall/net/HostReportsTest.java
+++ b/router/src/test/java/ledgewall/net/HostReportsTest.java
@@ -12,6 +12,7 @@
 import ledgewall.standin.Wire;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 class HostReportsTest {
@@ -25,6 +26,26 @@
         assertEquals(Role.REPLICA, report.role());
     }
 
+    /** Guards against a position that claims a commit which the host has not applied; a millisecond is met exactly. */
+    @ParameterizedTest
+    @CsvSource({"1796133713.0219,21", "1796133713.0215,21", "1796133713.021,21", "1796133713.000999999,0",
+        "1.796133713021E9,21", "1796133713,0"})
+    void reportPositionIsRoundedDownToTheMillisecond(String seconds, long millis) {
+        Report report = HostReports.report("x0=" + seconds + ",x1=0", NOW_NANOS);
+        assertEquals(1_796_133_713_000_000_000L + millis * RouterHarness.MS, report.position());
+    }
+
+    /** Guards against a write that seems older than it is, so that a replica passes for one that has applied it. */
+    @ParameterizedTest
+    @CsvSource({"1796133713021.2,22", "1796133713021,21", "1796133713020.0001,21"})
+    void commitIsRoundedUpToTheMillisecond(String millisText, long millis) throws ProtocolException {
+        Reply reply = new Reply();
+        reply.accept(Wire.paramFrame("wal_time", millisText));
+        assertEquals(1_796_133_713_000_000_000L + millis * RouterHarness.MS, HostReports.commitPosition(reply, NOW_NANOS));
+        assertEquals(1_796_133_713_000_000_000L + (long) Double.parseDouble(millisText) % 1_000 * RouterHarness.MS,
+            HostReports.position(reply, NOW_NANOS));
+    }
+
     /** A host that has not reported yet sends 0: a position in the distant past, which must not be taken for a current one. */
     @Test
     void positionZeroInReportIsDistantPastNotMissing() {
--- a/router/src/test/java/ledgewall/net/RouterComponentsTest.java
+++ b/router/src/test/java/ledgewall/net/RouterComponentsTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -45,11 +47,18 @@
     @Test
     void unixTimesAreConvertedToNanosAndInvalidOnesToZero() {
         assertEquals(1_767_225_600_123_000_000L, Clock.ofUnixMillis(1_767_225_600_123.0));
-        assertEquals(1_767_225_600_123_000_000L, Clock.ofUnixSeconds(1_767_225_600.123));
+        assertEquals(1_767_225_600_123_000_000L, Clock.ofUnixSeconds(new BigDecimal("1767225600.123")));
         assertEquals(0, Clock.ofUnixMillis(0));
         assertEquals(0, Clock.ofUnixMillis(Double.NaN));
         assertEquals(0, Clock.ofUnixMillis(1e30));
-        assertEquals(0, Clock.ofUnixSeconds(-1e30));
+        assertEquals(0, Clock.ofUnixSeconds(new BigDecimal("-1e30")));
+        assertEquals(1_767_225_600_123_000_000L,
+            Clock.ofUnixMillis(new BigDecimal("1767225600122.00001"), RoundingMode.CEILING));
+        assertEquals(0, Clock.ofUnixMillis(new BigDecimal("1e-999999999"), RoundingMode.CEILING));
+        assertEquals(0, Clock.ofUnixMillis(new BigDecimal("1e999999999"), RoundingMode.FLOOR));
+        assertEquals(1_767_225_600_124_000_000L, Clock.endOfUnixMilli(1_767_225_600_123L));
+        assertEquals(0, Clock.endOfUnixMilli(0));
+        assertEquals(0, Clock.endOfUnixMilli(999_999_999_999_999L));
         assertEquals(2, Clock.nanosToMillis(1_000_001));
     }
 
