--- a/router/src/main/java/ledgewall/net/RequestDispatcher.java
+++ b/router/src/main/java/ledgewall/net/RequestDispatcher.java
@@ -472,7 +472,8 @@
 
     /** The position that a reply tells. A write's is rounded up, any other down: no member may seem to have what it lacks. */
     private long position(ClientRequest request, Reply reply, long at) {
-        return consistencyOf(request) == Consistency.WRITE ? HostReports.commitPosition(reply, at) : HostReports.position(reply, at);
+        boolean isWrite = consistencyOf(request) == Consistency.WRITE;
+        return isWrite ? HostReports.commitPosition(reply, at) : HostReports.position(reply, at);
     }
 
     private Consistency consistencyOf(ClientRequest request) {
