Take a missing position for none, not for the time -1

Cause: updatePosition merged NONE, which is -1, into a member's position. Shortly after the zero of its clock, as the simulator's may be, a replica of unknown position passed for one that lags by no more than the time since then, and served bounded reads.

Change: a missing position leaves the member's as it is, far in the past at the start.

Result: SessionConsistencyTest#memberOfUnknownPositionIsNotTakenForOneOfTheClocksZero failed before (the read went to the replica) and passes.

--- a/core/src/main/java/ledgewall/ReplicaRoutingPolicy.java
+++ b/core/src/main/java/ledgewall/ReplicaRoutingPolicy.java
@@ -288,8 +288,10 @@
     }
 
     private void updatePosition(Member member, long position, long asOf) {
-        member.position = Math.max(member.position, position);
-        member.positionAsOf = position == NONE ? member.positionAsOf : Math.max(member.positionAsOf, asOf);
+        if (position != NONE) {
+            member.position = Math.max(member.position, position);
+            member.positionAsOf = Math.max(member.positionAsOf, asOf);
+        }
     }
 
     private void onProbeResult(ProbeResult probeResult) {
--- a/core/src/test/java/ledgewall/SessionConsistencyTest.java
+++ b/core/src/test/java/ledgewall/SessionConsistencyTest.java
@@ -1,9 +1,12 @@
 package ledgewall;
 
+import static ledgewall.PolicyHarness.BOUNDED;
 import static ledgewall.PolicyHarness.MS;
 import static ledgewall.PolicyHarness.SECOND;
 import static ledgewall.PolicyHarness.WRITE;
+import static ledgewall.PolicyHarness.listing;
 import static ledgewall.PolicyHarness.sendTargets;
+import static ledgewall.PolicyHarness.settings;
 import static ledgewall.PolicyHarness.withReadClasses;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -173,4 +176,14 @@
         harness.process(new Arrival(30_000, 0, 0, 1, 1, 700 * MS, RoutingPolicy.NONE, false));
         assertEquals(List.of("p"), sendTargets(harness.allActions));
     }
+
+    /** Guards against a missing position that is taken for the time -1, shortly after the clock's zero. */
+    @Test
+    void memberOfUnknownPositionIsNotTakenForOneOfTheClocksZero() {
+        PolicyHarness harness = new PolicyHarness(settings(RetrySafety.AT_MOST_ONCE, StaleReadHandling.SERVES, false), 100 * MS);
+        harness.process(new MemberList(ListKind.CACHED, List.of(listing("p"), listing("a"))));
+        harness.answerProbe("p", Role.PRIMARY, harness.now);
+        harness.answerProbe("a", Role.REPLICA, RoutingPolicy.NONE);
+        assertEquals(List.of("p"), sendTargets(harness.sendRequest(BOUNDED)));
+    }
 }
