Test that a session which writes again is not evicted as the oldest

Cause, of the code before SessionWrites: sessions were evicted in the order of their first writes. A session that went on writing was evicted first, and its newest write then counted for every session that was unknown, whose reads all went to the primary for it. SessionWrites moves a session to the end with each of its writes, so that the write that is evicted is the oldest one.

--- a/core/src/test/java/ledgewall/SessionConsistencyTest.java
+++ b/core/src/test/java/ledgewall/SessionConsistencyTest.java
@@ -186,4 +186,27 @@
         harness.answerProbe("a", Role.REPLICA, RoutingPolicy.NONE);
         assertEquals(List.of("p"), sendTargets(harness.sendRequest(BOUNDED)));
     }
+
+    /** Guards against evicting the newest write: the reads of all unknown sessions would then go to the primary. */
+    @Test
+    void sessionThatWritesAgainIsNotEvictedAsTheOldest() {
+        PolicyHarness harness = withReadClasses(Consistency.SESSION, false);
+        for (int session = 1; session <= 20_000; session++) {
+            writeInSession(harness, session, session);
+        }
+        harness.now += 100 * MS;
+        harness.answerProbe("a", Role.REPLICA, harness.now);
+        harness.now += 100 * MS;
+        writeInSession(harness, 20_001, 1);
+        writeInSession(harness, 20_002, 20_001);
+        harness.allActions.clear();
+        harness.process(new Arrival(30_000, 0, 0, 1, 30_000, 700 * MS, RoutingPolicy.NONE, false));
+        harness.process(new Arrival(30_001, 0, 0, 1, 1, 700 * MS, RoutingPolicy.NONE, false));
+        assertEquals(List.of("a", "p"), sendTargets(harness.allActions));
+    }
+
+    private static void writeInSession(PolicyHarness harness, long request, long session) {
+        harness.process(new Arrival(request, WRITE, 0, 1, session, 5 * SECOND, RoutingPolicy.NONE, false));
+        harness.process(new Outcome(request, 0, "p", Result.OK, MS, true, Role.PRIMARY, harness.now, null));
+    }
 }
