--- a/router/src/test/java/ledgewall/fleet/RecordingHosts.java
+++ b/router/src/test/java/ledgewall/fleet/RecordingHosts.java
@@ -1,7 +1,6 @@
 package ledgewall.fleet;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 import ledgewall.standin.ArrivalLog;
 import ledgewall.standin.StubServer;
@@ -38,8 +37,7 @@
     private void answer(StubServer.Connection connection, String sql) throws IOException {
         long now = System.currentTimeMillis();
         if (sql.startsWith("SHOW")) {
-            String report = "x0=" + now / 1e3 + ",x1=" + (primary ? 1 : 0);
-            connection.write(Wire.row(report.getBytes(StandardCharsets.UTF_8)), Wire.ready());
+            connection.write(Wire.report(now, primary));
             return;
         }
         arrivals.record(sql);
--- a/router/src/test/java/ledgewall/net/LateConnectionTest.java
+++ b/router/src/test/java/ledgewall/net/LateConnectionTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.locks.LockSupport;
@@ -55,8 +54,7 @@
                 return; // the router has given this connection up
             }
             if (!sql.contains("c=keyed")) {
-                String report = "x0=" + System.currentTimeMillis() / 1e3 + ",x1=1";
-                connection.write(Wire.row(report.getBytes(StandardCharsets.UTF_8)), Wire.ready());
+                connection.write(Wire.report(System.currentTimeMillis(), true));
                 return;
             }
             arrivals.add(System.nanoTime());
--- a/router/src/test/java/ledgewall/net/SessionReadTest.java
+++ b/router/src/test/java/ledgewall/net/SessionReadTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -47,25 +46,20 @@
     private Client start(WriteAnswer writeAnswer) throws IOException {
         StubServer primary = StubServer.host((connection, sql) -> {
             if (sql.startsWith("SHOW")) {
-                connection.write(report(System.currentTimeMillis(), 1));
+                connection.write(Wire.report(System.currentTimeMillis(), true));
             } else if (sql.contains("INSERT")) {
                 writeAnswer.send(connection, System.currentTimeMillis());
             } else {
-                connection.write(Wire.row(Wire.text("p")), Wire.param("mode", "read-write"), Wire.ready());
+                connection.write(Wire.row("p"), Wire.param("mode", "read-write"), Wire.ready());
             }
         });
         StubServer replica = StubServer.host((connection, sql) -> connection.write(sql.startsWith("SHOW")
-            ? report(Math.min(replicaPositionMs, System.currentTimeMillis()), 0)
-            : Wire.join(Wire.row(Wire.text("r")), Wire.param("mode", "read-only"), Wire.ready())));
+            ? Wire.report(Math.min(replicaPositionMs, System.currentTimeMillis()), false)
+            : Wire.join(Wire.row("r"), Wire.param("mode", "read-only"), Wire.ready())));
         harness.deduplicationWindowMs(WINDOW_MS).host("p", primary).host("r", replica).startWith(ReplicaRoutingPolicy::new);
         return harness.client();
     }
 
-    private static byte[] report(long positionMs, int primaryFlag) {
-        String report = "x0=" + positionMs / 1_000 + "." + String.format("%03d", positionMs % 1_000) + ",x1=" + primaryFlag;
-        return Wire.join(Wire.row(report.getBytes(StandardCharsets.US_ASCII)), Wire.ready());
-    }
-
     /** Sends a request until it is served, since a refusal says nothing about the member; returns the value. */
     private String serve(Client client, String className, long timeoutMs, String sql) throws IOException {
         while (true) {
@@ -73,7 +67,7 @@
             List<Message> answer = client.readUntilReady();
             if (answer.get(0).type() == 'T') {
                 byte[] row = answer.get(1).body();
-                return Character.toString(row[row.length - 2]);
+                return Character.toString(row[row.length - 1]);
             }
         }
     }
@@ -99,7 +93,7 @@
     @ParameterizedTest
     @ValueSource(strings = {"", "0", "-1", "none", "NaN", "1e300", "1767225600", "SECONDS", "AHEAD"})
     void readAfterAWriteWithoutAUsablePositionGoesToThePrimary(String position) throws IOException {
-        Client client = start((connection, commitMs) -> connection.write(Wire.row(Wire.text("w")),
+        Client client = start((connection, commitMs) -> connection.write(Wire.row("w"),
             Wire.param("wal_time", position.equals("SECONDS") ? Long.toString(commitMs / 1_000)
                 : position.equals("AHEAD") ? Long.toString(commitMs + 3_600_000) : position), Wire.ready()));
         assertReadsFollowTheWrite(client);
@@ -111,7 +105,7 @@
     void readAfterAWriteWhoseReplyBreaksOffGoesToThePrimary(String end) throws IOException {
         Client client = start((connection, commitMs) -> {
             byte[] before = end.startsWith("position") ? Wire.param("wal_time", "" + replicaPositionMs) : new byte[0];
-            connection.write(Wire.row(Wire.text("w")), before, switch (end) {
+            connection.write(Wire.row("w"), before, switch (end) {
                 case "garbage" -> new byte[] {'T', -1, -1, -1, -1, 0};
                 case "error" -> Wire.error("XX000");
                 default -> new byte[0];
@@ -137,7 +131,7 @@
     void readBeforeTheEndOfTheReplyToAWriteGoesToThePrimary() throws IOException {
         CountDownLatch hasRead = new CountDownLatch(1);
         Client client = start((connection, commitMs) -> {
-            connection.write(Wire.row(Wire.text("w")));
+            connection.write(Wire.row("w"));
             AttemptOutcomeTest.await(hasRead);
             connection.write(Wire.param("wal_time", Long.toString(commitMs)), Wire.ready());
         });
@@ -151,7 +145,7 @@
     @Test
     void readAfterAWriteWhoseReplyNeverEndsGoesToThePrimary() throws IOException {
         Client client = start((connection, commitMs) -> {
-            connection.write(Wire.row(Wire.text("w")));
+            connection.write(Wire.row("w"));
             connection.awaitClose();
         });
         assertEquals("r", read(client));
@@ -165,7 +159,7 @@
     @Test
     void replicaServesTheSessionAgainOnceItHasAppliedAWriteOfUnknownPosition() throws IOException {
         Client client = start((connection, commitMs) -> {
-            connection.write(Wire.row(Wire.text("w")));
+            connection.write(Wire.row("w"));
             connection.reset();
         });
         assertReadsFollowTheWrite(client);
@@ -180,7 +174,7 @@
     @Test
     void sessionReadsAtThePrimaryAndWritesWithoutAPositionAreCounted() throws IOException {
         AtomicBoolean tellsPosition = new AtomicBoolean(true);
-        Client client = start((connection, commitMs) -> connection.write(Wire.row(Wire.text("w")),
+        Client client = start((connection, commitMs) -> connection.write(Wire.row("w"),
             tellsPosition.get() ? Wire.param("wal_time", Long.toString(commitMs)) : new byte[0], Wire.ready()));
         assertEquals("r", read(client));
         write(client);
--- a/router/src/test/java/ledgewall/net/SessionSoakTest.java
+++ b/router/src/test/java/ledgewall/net/SessionSoakTest.java
@@ -104,23 +104,18 @@
                 }
                 position = standsAt.get();
             }
-            connection.write(sql.startsWith("SHOW") ? report(position, 0) : answer(position, "read-only", new byte[0]));
+            connection.write(sql.startsWith("SHOW") ? Wire.report(position, false) : answer(position, "read-only", new byte[0]));
         });
     }
 
-    private static byte[] report(long positionMs, int primaryFlag) {
-        String report = "x0=" + positionMs / 1_000 + "." + String.format("%03d", positionMs % 1_000) + ",x1=" + primaryFlag;
-        return Wire.join(Wire.row(report.getBytes(StandardCharsets.US_ASCII)), Wire.ready());
-    }
-
     private static byte[] answer(long value, String mode, byte[] position) {
-        return Wire.join(Wire.row(Long.toString(value).getBytes(StandardCharsets.US_ASCII)), Wire.param("mode", mode), position,
+        return Wire.join(Wire.row(Long.toString(value)), Wire.param("mode", mode), position,
             Wire.ready());
     }
 
     private void answerAtPrimary(StubServer.Connection connection, String sql) throws IOException {
         if (sql.startsWith("SHOW")) {
-            connection.write(report(System.currentTimeMillis(), 1));
+            connection.write(Wire.report(System.currentTimeMillis(), true));
         } else if (sql.contains("INSERT")) {
             long commit = commits.computeIfAbsent(sql.substring(sql.indexOf("id="), sql.indexOf(',')),
                 id -> System.currentTimeMillis());
--- a/router/src/test/java/ledgewall/standin/StubHosts.java
+++ b/router/src/test/java/ledgewall/standin/StubHosts.java
@@ -188,8 +188,7 @@
         long now = System.currentTimeMillis();
         if (new String(message, StandardCharsets.UTF_8).contains("SHOW stats")) {
             probeCount.incrementAndGet();
-            String report = "x0=" + now / 1e3 + ",x1=" + (primary ? 1 : 0);
-            return Wire.join(Wire.row(report.getBytes(StandardCharsets.UTF_8)), Wire.ready());
+            return Wire.report(now, primary);
         }
         requestCount.incrementAndGet();
         return Wire.join(Wire.param("mode", primary ? "read-write" : "read-only"), Wire.param("wal_time", "" + now),
--- a/router/src/test/java/ledgewall/standin/Wire.java
+++ b/router/src/test/java/ledgewall/standin/Wire.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import ledgewall.pg.Frame;
 
 /** Builds protocol messages as clients and hosts send them, independently of the code under test. */
@@ -59,6 +60,18 @@
         return join(rowDescription(), dataRow(value), message('C', text("SELECT 1")));
     }
 
+    /** A whole result whose value is a text. */
+    public static byte[] row(String value) {
+        return row(value.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** A host's whole reply to a probe: its position, in Unix milliseconds, and its role. */
+    public static byte[] report(long positionMs, boolean primary) {
+        int primaryFlag = primary ? 1 : 0;
+        return join(row(String.format(Locale.ROOT, "x0=%d.%03d,x1=%d", positionMs / 1_000, positionMs % 1_000, primaryFlag)),
+            ready());
+    }
+
     public static byte[] rowDescription() {
         return message('T', int16(1), text("data"), int32(0), int16(0), int32(17), int16(-1), int32(-1), int16(1));
     }
