--- a/core/src/main/java/ledgewall/ReplicaRoutingPolicy.java
+++ b/core/src/main/java/ledgewall/ReplicaRoutingPolicy.java
@@ -34,33 +34,12 @@
     private static final double SILENCE_THRESHOLD = 20;
     /** A timer that fires later than this shows a stall of the router itself: many ticks, far less than a latency target. */
     private static final long STALL_THRESHOLD = 50 * MS;
-    /** Latency targets after which an attempt is lost if later ones are answered in time: it uses no capacity, shows no load. */
-    private static final long LOST_AFTER_TARGETS = 2;
     /** No process restarts faster: a member that answers again sooner was only unreachable and is still warm. */
     private static final long MIN_RESTART_TIME = SECOND;
     /** A suspected member is sent one trial request per interval. */
     private static final long TRIAL_INTERVAL = 500 * MS;
-    /** The target for a member's mean latency, as a part of the latency target: the rest is left for the tail. */
-    private static final double TARGET_LATENCY_RATIO = 0.42;
-    private static final double INITIAL_LATENCY_RATIO = 0.25;
-    /** Exponent of the load in the spacing of sends: at half of the targeted latency ratio, a sixteenth of the gap is left. */
-    private static final double SPACING_EXPONENT = 4;
-    /** Concurrency limits of a member, for all routers together: initial, when cold, smallest. */
-    private static final double INITIAL_CONCURRENCY = 12;
-    private static final double COLD_CONCURRENCY = 4;
-    private static final double MIN_CONCURRENCY = 1;
-    /** A concurrency limit grows by this, for all routers together, with as many answers as it allows attempts. */
-    private static final double CONCURRENCY_INCREASE = 2;
-    /** It shrinks by this factor when answers are slow or refused, at most once per interval. */
-    private static final double CONCURRENCY_DECREASE_FACTOR = 0.85;
-    private static final long MIN_DECREASE_INTERVAL = 100 * MS;
     /** Reads may use this part of the primary's concurrency limit, because its writes can go nowhere else. */
     private static final double PRIMARY_READ_SHARE = 0.5;
-    /** Weight of a sample in the moving averages of one member, which gives few samples, and in those of many members. */
-    private static final double MEMBER_SAMPLE_WEIGHT = 0.3;
-    private static final double POOLED_SAMPLE_WEIGHT = 0.02;
-    /** Time constant in nanoseconds with which a member's latency ratio returns to its kind's when there are no samples. */
-    private static final double LATENCY_RATIO_TIME_CONSTANT = 20 * SECOND;
     /** The part of its time that a request may be queued in a router that has just started and awaits its first probes. */
     private static final double STARTUP_QUEUE_SHARE = 0.1;
     /** The part of its latency target that a read may be queued: long enough for a burst to pass. */
@@ -94,6 +73,7 @@
     private final Set<Group> groupsToResume = new LinkedHashSet<>();
     private final Freshness freshness;
     private final SlowStart slowStart;
+    private final ConcurrencyLimits concurrencyLimits;
     private final SendRules sendRules;
     private ProbeScheduler probeScheduler;
     private final SessionWrites sessionWrites = new SessionWrites();
@@ -119,6 +99,7 @@
         this.sharesObservations = ProbeScheduler.sharesObservations(settings);
         this.freshness = new Freshness(settings, sharesObservations, sessionWrites);
         this.slowStart = new SlowStart(settings);
+        this.concurrencyLimits = new ConcurrencyLimits(settings.routerCount());
         this.tickInterval = Math.max(2 * settings.tickInterval(), 10 * MS);
         this.sendRules = new SendRules(settings, freshness, slowStart, tickInterval);
         this.remembersWrites = settings.classes().stream().anyMatch(c -> c.consistency() == Consistency.SESSION);
@@ -240,16 +221,15 @@
         }
         for (Listing listing : list.listings()) {
             Member member = members.computeIfAbsent(listing.member(),
-                id -> new Member(id, groupOf(listing.group()), INITIAL_LATENCY_RATIO,
-                    INITIAL_CONCURRENCY / settings.routerCount()));
+                id -> concurrencyLimits.newMember(id, groupOf(listing.group())));
             slowStart.removeFromKindMean(member, now);
             member.zone = listing.zone();
-            member.kind = kinds.computeIfAbsent(listing.kind(), id -> new MachineKind(INITIAL_LATENCY_RATIO));
+            member.kind = kinds.computeIfAbsent(listing.kind(), id -> concurrencyLimits.newKind());
             if (listing.startedAt() > member.startedAt) {
                 member.startedAt = listing.startedAt();
                 member.unreachable = false;
                 member.suspectSince = NONE;
-                member.concurrencyLimit = COLD_CONCURRENCY / settings.routerCount();
+                concurrencyLimits.onRestart(member);
             }
             member.phase = listing.phase() == Phase.GONE && keepUnlisted ? member.phase : listing.phase();
             onListingChanged(member);
@@ -305,7 +285,7 @@
             return;
         }
         if (member.connectionRefused && now >= member.unreachableSince + MIN_RESTART_TIME) {
-            member.concurrencyLimit = COLD_CONCURRENCY / settings.routerCount();
+            concurrencyLimits.onRestart(member);
             member.restartDetectedAt = now;
         }
         boolean wasUnreachable = member.unreachable;
@@ -407,27 +387,15 @@
         }
         switch (outcome.result()) {
             case OK -> {
-                double change = POOLED_SAMPLE_WEIGHT * (outcome.elapsed() - meanLatency[index]);
+                double change = ConcurrencyLimits.POOLED_SAMPLE_WEIGHT * (outcome.elapsed() - meanLatency[index]);
                 meanLatency[index] += change;
                 sumOfMeanLatencies += change;
-                recordLatencyRatio(member, sample);
                 slowStart.onServed(member, relativeWork(attempt.request()) * SECOND / MachineKind.RATE_TIME_CONSTANT, now);
-                if (latencyRatio(member) > TARGET_LATENCY_RATIO) {
-                    decreaseConcurrencyLimit(member);
-                } else if (member.attemptsInFlight.size() + 1 >= member.concurrencyLimit / 2) {
-                    member.concurrencyLimit += CONCURRENCY_INCREASE / settings.routerCount()
-                        / Math.max(1, member.concurrencyLimit);
-                }
-            }
-            case REJECTED -> decreaseConcurrencyLimit(member);
-            case TIMED_OUT, CANCELLED -> {
-                // If others were answered in time meanwhile, a long wait is a lost answer and no sign of load.
-                if (!isOverdue(attempt) || lastAnswerHeardAt(member) <= attempt.sentAt()
-                        || latencyRatio(member) >= TARGET_LATENCY_RATIO) {
-                    recordLatencyRatio(member, Math.max(sample, latencyRatio(member)));
-                    decreaseConcurrencyLimit(member);
-                }
+                concurrencyLimits.onServed(member, sample, now);
             }
+            case REJECTED -> concurrencyLimits.onRejected(member, now);
+            case TIMED_OUT, CANCELLED ->
+                concurrencyLimits.onUnanswered(attempt, sample, lastAnswerHeardAt(member) > attempt.sentAt(), now);
             case NOT_CONNECTED -> markUnreachable(member, true);
             case RESET -> probeScheduler.probeUrgently(member, now); // one broken connection does not prove a failed member
             default -> { }
@@ -454,27 +422,6 @@
         probeScheduler.probeUrgently(member, now);
     }
 
-    private void recordLatencyRatio(Member member, double sample) {
-        member.latencyRatio = latencyRatio(member) + MEMBER_SAMPLE_WEIGHT * (sample - latencyRatio(member));
-        member.kind.latencyRatio += POOLED_SAMPLE_WEIGHT * (sample - member.kind.latencyRatio);
-        member.latencySampledAt = now;
-    }
-
-    /** The mean latency of a member's answers as a part of their targets; without samples it decays to its kind's. */
-    private double latencyRatio(Member member) {
-        double kindRatio = member.kind.latencyRatio;
-        return kindRatio + (member.latencyRatio - kindRatio)
-            * Math.exp((member.latencySampledAt - now) / LATENCY_RATIO_TIME_CONSTANT);
-    }
-
-    private void decreaseConcurrencyLimit(Member member) {
-        if (now >= member.nextDecreaseAt) {
-            member.nextDecreaseAt = now + MIN_DECREASE_INTERVAL;
-            member.concurrencyLimit = Math.max(MIN_CONCURRENCY / settings.routerCount(),
-                member.concurrencyLimit * CONCURRENCY_DECREASE_FACTOR);
-        }
-    }
-
     private void route(Request request) {
         if (request.finished || request.currentAttempt != null) {
             return;
@@ -570,27 +517,13 @@
         return replicas.get(random.nextInt(replicas.size()));
     }
 
-    /** The relative delay expected at a member; never better than its kind's, as a few fast answers may be chance. */
     private double expectedDelay(Member member) {
-        return Math.max(member.kind.latencyRatio, latencyRatio(member)) * (member.attemptsInFlight.size() + 1);
+        return concurrencyLimits.expectedDelay(member, now);
     }
 
-    /**
-     * Guards against overload of one or all members, which shows only in their answers: limits this router's attempts in
-     * flight so that answers stay well within their latency targets. A limit below one, where many routers share a member,
-     * spaces sends instead. The gaps shrink as the latencies of the member and its kind do, because sparse traffic comes in
-     * bursts. Drawback: a burst waits until the limits of idle members have grown, or meets the first requests of all routers.
-     *
-     * @param share the part of the member's concurrency limit that the request may use
-     */
+    /** Whether a request may use this share of the member's concurrency limit. */
     private boolean hasCapacity(Request request, Member member, double share) {
-        double limit = member.concurrencyLimit * share;
-        double expectedLatency = latencyRatio(member) * request.requestClass.latencyTarget();
-        boolean slow = latencyRatio(member) >= TARGET_LATENCY_RATIO; // else an overdue attempt is lost and uses no capacity
-        long inFlight = member.attemptsInFlight.stream().filter(a -> slow || !isOverdue(a)).count();
-        double load = Math.min(1, Math.max(member.kind.latencyRatio, latencyRatio(member)) / TARGET_LATENCY_RATIO);
-        double gap = Math.pow(load, SPACING_EXPONENT) * expectedLatency / limit;
-        return inFlight == 0 ? limit >= 1 || now - member.lastSentAt >= gap : inFlight < limit;
+        return concurrencyLimits.hasCapacity(request, member, share, now);
     }
 
     private boolean isHealthy(Member member) {
@@ -599,9 +532,8 @@
         return member.isUsable() && (member.suspectSince == NONE || trialDue);
     }
 
-    /** Whether an attempt is in flight for so long that it delays no trial and, given later answers, shows no silence. */
     private boolean isOverdue(Attempt attempt) {
-        return now >= attempt.sentAt() + LOST_AFTER_TARGETS * attempt.request().requestClass.latencyTarget();
+        return concurrencyLimits.isOverdue(attempt, now);
     }
 
     // ---- Sending
@@ -770,7 +702,7 @@
         for (Attempt attempt : member.attemptsInFlight) {
             long silence = now - Math.max(attempt.sentAt(), lastAnswerHeardAt(member));
             missedLatencies += isOverdue(attempt) && lastAnswerHeardAt(member) > attempt.sentAt() ? 0
-                : silence / (attempt.request().requestClass.latencyTarget() * latencyRatio(member));
+                : silence / (attempt.request().requestClass.latencyTarget() * concurrencyLimits.latencyRatio(member, now));
         }
         if (missedLatencies < SILENCE_THRESHOLD) {
             return;
